--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Commands for developers. `make demo` runs the whole system on loopback;
+# `make test` runs everything that CI checks.
+
+OGEN := go tool -modfile=tools/ogen/go.mod ogen
+BUF := go tool -modfile=tools/proto/go.mod buf
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+PACKAGES := ./...
+
+.PHONY: build demo up test generate generated lint format measure bench
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bin/elmdemo -bin bin
+
+up: build
+	bin/elmdemo -bin bin -stay
+
+generate:
+	$(BUF) generate
+	$(OGEN) --config api/ogen.yaml --package elmapi --target internal/wire/elmapi --clean api/entry.yaml
+	$(OGEN) --config api/ogen.yaml --package elmkvapi --target internal/wire/elmkvapi --clean api/platform.yaml
+	go run ./cmd/elmcove reference > docs/CONFIG.md
+
+generated: generate
+	git diff --exit-code -- internal/wire docs/CONFIG.md
+
+format:
+	$(LINT) fmt
+
+lint:
+	$(LINT) fmt --diff
+	$(LINT) run
+	go vet $(PACKAGES)
+
+# Tests named in KNOWN-RED.txt ("test: NAME" lines) are printed and passed over.
+RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
+
+test: generated lint
+	@if [ -n "$(RED)" ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
+	go test -race -timeout 20m $(if $(RED),-skip '^($(RED))$$') $(PACKAGES)
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PACKAGES)
--- /dev/null
+++ b/internal/agent/elmagent/elmagent.go
@@ -0,0 +1,285 @@
+// Package elmagent runs the agent process beside one endpoint. The agent is the
+// last word on what its endpoint runs: it admits requests by the endpoint's
+// present capacity, wins the claim of a keyed request before it runs, and
+// refuses new work once the endpoint is leaving.
+//
+// # Usage
+//
+//	agent, err := elmagent.New(settings, elmagent.WithLogger(logger))
+//	err = agent.Run(ctx) // Drains when ctx ends.
+package elmagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/quic-go/quic-go"
+
+	"github.com/elmcove/elmcove/internal/agent/elmcaller"
+	"github.com/elmcove/elmcove/internal/config/elmholder"
+	"github.com/elmcove/elmcove/internal/config/elmsettings"
+	"github.com/elmcove/elmcove/internal/limit/elmcredit"
+	"github.com/elmcove/elmcove/internal/limit/elmwarmth"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/observe/elmtrace"
+	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/wire/elmkeys"
+	"github.com/elmcove/elmcove/internal/wire/elmlink"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+const (
+	grantInterval = time.Second
+	drainTimeout  = 2 * time.Minute
+	seenMargin    = time.Minute
+)
+
+// ErrAgent reports that the agent can't run.
+var ErrAgent = errors.New("agent")
+
+// Agent is an agent process.
+type Agent struct {
+	settings    elmsettings.Settings
+	incarnation string
+	keys        *elmkeys.Keys
+	store       *elmstore.Store
+	caller      *elmcaller.Caller
+	logger      *elmlog.Logger
+	tracer      *elmtrace.Tracer
+	meter       *elmmeter.Meter
+	holder      *elmholder.Holder
+	jobs        sync.WaitGroup
+	links       sync.WaitGroup
+
+	mutex   sync.Mutex
+	pool    elmcredit.Pool
+	warmth  elmwarmth.Limit
+	leaving bool
+	seen    map[string]time.Time
+	peers   map[*elmlink.Link]struct{}
+}
+
+// New returns an agent that is not running yet.
+func New(settings elmsettings.Settings, options ...Option) (*Agent, error) {
+	keys, err := elmkeys.Load(settings.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrAgent, err)
+	}
+	store, err := elmstore.New(settings.Platform)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrAgent, err)
+	}
+	a := &Agent{
+		settings:    settings,
+		incarnation: uuid.NewString(),
+		keys:        keys,
+		store:       store,
+		caller:      elmcaller.New(settings.Endpoint),
+		logger:      elmlog.Discard(),
+		tracer:      elmtrace.Discard(),
+		meter:       elmmeter.New(),
+		holder:      elmholder.New(),
+		pool:        elmcredit.New(1),
+		warmth:      elmwarmth.New(time.Duration(settings.Step)*time.Millisecond, settings.Ceiling),
+		seen:        map[string]time.Time{},
+		peers:       map[*elmlink.Link]struct{}{},
+	}
+	for _, option := range options {
+		option(a)
+	}
+	return a, nil
+}
+
+// Run serves entries until the context ends, and then drains: it refuses new
+// work, finishes what runs, and waits for entries to take the last answers.
+func (a *Agent) Run(ctx context.Context) error {
+	listener, err := quic.ListenAddr(a.settings.Link, a.keys.Server(), elmlink.Settings())
+	if err != nil {
+		return fmt.Errorf("%w: listen %s: %w", ErrAgent, a.settings.Link, err)
+	}
+	defer func() { _ = listener.Close() }() // The process is ending.
+	server, err := a.serveHTTP(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = server.Close() }() // Nothing waits for operators' pages.
+	a.logger.Event(elmlog.Started, "link", a.settings.Link, "http", a.settings.HTTP, "incarnation", a.incarnation)
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go a.accept(base, listener)
+	<-ctx.Done()
+	a.drain()
+	a.caller.Close()
+	a.logger.Event(elmlog.Stopped)
+	return nil
+}
+
+func (a *Agent) accept(ctx context.Context, listener *quic.Listener) {
+	for {
+		conn, err := listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		a.links.Go(func() { a.serveLink(ctx, conn) })
+	}
+}
+
+// drain refuses new work and waits until all jobs have ended and the entries
+// have closed their links, which they do once they have read all answers.
+func (a *Agent) drain() {
+	a.logger.Event(elmlog.Stopping)
+	a.mutex.Lock()
+	a.leaving = true
+	peers := a.peerList()
+	a.mutex.Unlock()
+	for _, p := range peers {
+		a.grant(p)
+	}
+	await(&a.jobs, drainTimeout)
+	await(&a.links, drainTimeout)
+}
+
+func await(group *sync.WaitGroup, timeout time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(timeout):
+	}
+}
+
+func (a *Agent) serveHTTP(ctx context.Context) (*http.Server, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.settings.HTTP)
+	if err != nil {
+		return nil, fmt.Errorf("%w: listen %s: %w", ErrAgent, a.settings.HTTP, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", a.handleReady)
+	mux.Handle("GET /metrics", a.meter.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }() // Ends when the server is closed.
+	return server, nil
+}
+
+func (a *Agent) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !a.takes() {
+		http.Error(w, "not taking new work", http.StatusServiceUnavailable)
+	}
+}
+
+// takes reports whether the endpoint may receive new work.
+func (a *Agent) takes() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.takesLocked()
+}
+
+func (a *Agent) takesLocked() bool {
+	config := a.holder.Config()
+	return !a.leaving && config.Revision() > 0 && config.Takes(a.settings.Datacentre, a.settings.Instance)
+}
+
+// adopt takes over a configuration that is newer than the present one.
+func (a *Agent) adopt(update *elmwire.Update) {
+	adopted, err := a.holder.Adopt(update)
+	if err != nil {
+		a.logger.Event(elmlog.ConfigRefused, "revision", update.GetRevision(), "error", err)
+		return
+	}
+	if !adopted {
+		return
+	}
+	a.mutex.Lock()
+	a.resizeLocked()
+	a.mutex.Unlock()
+	a.logger.Event(elmlog.ConfigAdopted, "revision", update.GetRevision())
+}
+
+// resizeLocked sets the limit of the pool: learned for a model engine, and the
+// ceiling for a plain service.
+func (a *Agent) resizeLocked() {
+	limit := a.settings.Ceiling
+	if a.holder.Config().Model(a.settings.Service) {
+		limit = a.warmth.Value()
+	}
+	a.pool = a.pool.WithLimit(limit)
+}
+
+// observe learns from the time of one step of the endpoint.
+func (a *Agent) observe(step time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	before := a.warmth.Value()
+	a.warmth = a.warmth.Observe(step, a.pool.Running())
+	a.resizeLocked()
+	if before > 1 && a.warmth.Value() == 1 {
+		a.logger.Event(elmlog.EndpointCold, "step", step, "limit", before)
+	}
+}
+
+// chill reduces the load after the endpoint has failed.
+func (a *Agent) chill() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.warmth = a.warmth.Chill()
+	a.resizeLocked()
+}
+
+// admit takes a place for a request, or tells why there is none.
+func (a *Agent) admit(open *elmwire.Open, now time.Time) elmwire.Reason {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.forgetLocked(now)
+	if _, ok := a.seen[open.GetAttempt()]; ok || open.GetIncarnation() != a.incarnation {
+		return elmwire.Reason_REASON_STALE
+	}
+	a.seen[open.GetAttempt()] = now.Add(time.Duration(open.GetDeadlineMs())*time.Millisecond + seenMargin)
+	if !a.takesLocked() {
+		return elmwire.Reason_REASON_LEAVING
+	}
+	pool, err := a.pool.Admit()
+	if err != nil {
+		return elmwire.Reason_REASON_CAPACITY
+	}
+	a.pool = pool
+	a.jobs.Add(1)
+	return elmwire.Reason_REASON_UNSPECIFIED
+}
+
+// forgetLocked drops attempts that are past their deadline.
+func (a *Agent) forgetLocked(now time.Time) {
+	if len(a.seen) < a.settings.Ceiling {
+		return
+	}
+	for attempt, expires := range a.seen {
+		if now.After(expires) {
+			delete(a.seen, attempt)
+		}
+	}
+}
+
+func (a *Agent) release() {
+	a.mutex.Lock()
+	a.pool = a.pool.Release()
+	a.mutex.Unlock()
+	a.jobs.Done()
+}
+
+func (a *Agent) peerList() []*elmlink.Link {
+	peers := make([]*elmlink.Link, 0, len(a.peers))
+	for p := range a.peers {
+		peers = append(peers, p)
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/agent/elmagent/jobs.go
@@ -0,0 +1,155 @@
+package elmagent
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/elmcove/elmcove/internal/agent/elmcaller"
+	"github.com/elmcove/elmcove/internal/agent/elmjob"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmtrace"
+	"github.com/elmcove/elmcove/internal/state/elmclaim"
+	"github.com/elmcove/elmcove/internal/wire/elmframe"
+	"github.com/elmcove/elmcove/internal/wire/elmlink"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+const openTimeout = 5 * time.Second
+
+// job carries out the commands of one elmjob.Job.
+type job struct {
+	agent  *Agent
+	open   *elmwire.Open
+	stream *quic.Stream
+	frames *elmframe.Assembler
+	base   context.Context
+}
+
+// serveStream serves one request.
+func (a *Agent) serveStream(ctx context.Context, stream *quic.Stream) {
+	defer func() { _ = stream.Close() }() // The entry may have gone.
+	open := &elmwire.Open{}
+	_ = stream.SetReadDeadline(time.Now().Add(openTimeout)) // Fails only on a closed stream.
+	if err := elmlink.Read(bufio.NewReader(stream), open); err != nil {
+		return
+	}
+	ctx, span := a.tracer.Start(ctx, "agent", open.GetTrace())
+	defer span.End()
+	j := &job{agent: a, open: open, stream: stream, frames: elmframe.New(open.GetRequest()), base: ctx}
+	j.serve()
+}
+
+// serve admits the request and drives its decisions to the end.
+func (j *job) serve() {
+	state := elmjob.New(j.agent.settings.Instance+"/"+j.agent.incarnation, j.open.GetClaim())
+	if j.open.GetOnce() {
+		state = state.WithOnce()
+	}
+	var message elmjob.Message = elmjob.Admitted{}
+	reason := j.agent.admit(j.open, time.Now())
+	if reason != elmwire.Reason_REASON_UNSPECIFIED {
+		message = elmjob.Denied{Reason: reason}
+	} else {
+		defer j.agent.release()
+	}
+	for message != nil {
+		var commands []elmjob.Command
+		state, commands = state.Update(message)
+		message = nil
+		for _, command := range commands {
+			message = j.perform(command)
+		}
+	}
+}
+
+// perform carries out a command and returns the message that it leads to.
+func (j *job) perform(command elmjob.Command) elmjob.Message {
+	switch c := command.(type) {
+	case elmjob.Swap:
+		return j.swap(c)
+	case elmjob.Run:
+		return j.run()
+	case elmjob.End:
+		j.send(j.frames.End())
+	case elmjob.Refuse:
+		j.send(j.frames.Refusal(c.Refusal))
+	}
+	return nil
+}
+
+// swap writes a claim record. The entry may leave before the claim is won.
+func (j *job) swap(c elmjob.Swap) elmjob.Message {
+	starting := c.Tally.GetPhase() == elmwire.Phase_PHASE_STARTED
+	if starting && j.stream.Context().Err() != nil {
+		return elmjob.Cancelled{}
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.Tally)
+	if err != nil {
+		return elmjob.StoreFailed{}
+	}
+	result, err := j.agent.store.SwapFor(j.base, c.Key, c.Version, data, elmclaim.Hour(time.Now()), elmclaim.Life)
+	if err != nil {
+		if !starting {
+			j.agent.logger.Event(elmlog.RecordFailed, "request", j.open.GetRequest(), "error", err)
+		}
+		return elmjob.StoreFailed{}
+	}
+	return elmjob.Swapped{Won: result.Won, Version: result.Value.Version}
+}
+
+// run passes the request to the endpoint. A request that may not be repeated
+// goes on when its entry leaves.
+func (j *job) run() elmjob.Message {
+	ctx, cancel := context.WithTimeout(j.base, time.Duration(j.open.GetDeadlineMs())*time.Millisecond)
+	defer cancel()
+	if !j.open.GetOnce() {
+		stop := context.AfterFunc(j.stream.Context(), cancel)
+		defer stop()
+	}
+	ctx, span := j.agent.tracer.Start(ctx, "endpoint", elmtrace.Parent(j.base))
+	defer span.End()
+	reply, err := j.agent.caller.Call(ctx, j.open, j)
+	if err == nil {
+		return elmjob.Replied{Status: reply.Status, Media: reply.Media, Body: reply.Body}
+	}
+	if j.stream.Context().Err() != nil {
+		return elmjob.Cancelled{}
+	}
+	j.agent.logger.Event(elmlog.EndpointFailed, "request", j.open.GetRequest(), "error", err)
+	if errors.Is(err, elmcaller.ErrRefused) || errors.Is(err, elmcaller.ErrEndpoint) {
+		j.agent.chill()
+	}
+	return elmjob.EndpointFailed{}
+}
+
+// Head implements elmcaller.Sink.
+func (j *job) Head(head *elmwire.Head) error {
+	return j.pass(j.frames.Head(head))
+}
+
+// Data implements elmcaller.Sink.
+func (j *job) Data(data []byte, step time.Duration) error {
+	if step > 0 {
+		j.agent.observe(step)
+	}
+	return j.pass(j.frames.Data(data))
+}
+
+// pass sends a frame. The answer to a request that may not be repeated is read
+// to its end though its entry has gone.
+func (j *job) pass(frame *elmwire.Frame) error {
+	err := elmlink.Write(j.stream, frame)
+	if j.open.GetOnce() {
+		return nil
+	}
+	return err
+}
+
+func (j *job) send(frame *elmwire.Frame) {
+	_ = elmlink.Write(j.stream, frame) // The entry may have gone.
+}
--- /dev/null
+++ b/internal/agent/elmagent/links.go
@@ -0,0 +1,136 @@
+package elmagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/elmcove/elmcove/internal/limit/elmcredit"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/wire/elmlink"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+// serveLink serves one entry until its link ends.
+func (a *Agent) serveLink(ctx context.Context, conn *quic.Conn) {
+	link, err := elmlink.Accept(ctx, conn, a.hello())
+	if err != nil {
+		a.logger.Event(elmlog.LinkRefused, "peer", conn.RemoteAddr(), "error", err)
+		_ = conn.CloseWithError(1, "refused") // The peer may have gone.
+		return
+	}
+	defer link.Close()
+	a.join(link)
+	defer a.leave(link)
+	go a.receive(link)
+	go a.renew(link)
+	a.serveStreams(ctx, link)
+}
+
+func (a *Agent) serveStreams(ctx context.Context, link *elmlink.Link) {
+	for {
+		stream, err := link.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go a.serveStream(ctx, stream)
+	}
+}
+
+func (a *Agent) hello() *elmwire.Hello {
+	return &elmwire.Hello{
+		Instance:    a.settings.Instance,
+		Datacentre:  a.settings.Datacentre,
+		Incarnation: a.incarnation,
+		Revision:    a.holder.Config().Revision(),
+	}
+}
+
+func (a *Agent) join(link *elmlink.Link) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.peers[link] = struct{}{}
+	a.logger.Event(elmlog.LinkUp, "entry", link.Peer().GetInstance())
+}
+
+func (a *Agent) leave(link *elmlink.Link) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.peers, link)
+	a.pool = a.pool.WithoutEntry(link.Peer().GetInstance())
+	a.logger.Event(elmlog.LinkDown, "entry", link.Peer().GetInstance())
+}
+
+// receive takes in the control messages of an entry.
+func (a *Agent) receive(link *elmlink.Link) {
+	for {
+		message, err := link.Receive()
+		if err != nil {
+			link.Close()
+			return
+		}
+		switch kind := message.GetKind().(type) {
+		case *elmwire.Control_Want:
+			a.heed(link, kind.Want)
+		case *elmwire.Control_Update:
+			a.adopt(kind.Update)
+			a.grantAll()
+		}
+	}
+}
+
+// heed takes in what an entry wants, and brings it forward if its
+// configuration is old.
+func (a *Agent) heed(link *elmlink.Link, want *elmwire.Want) {
+	a.mutex.Lock()
+	a.pool = a.pool.WithWant(link.Peer().GetInstance(), int(want.GetWindow()), time.Now())
+	a.mutex.Unlock()
+	update := a.holder.Update()
+	if want.GetRevision() < update.GetRevision() {
+		_ = link.Send(&elmwire.Control{Kind: &elmwire.Control_Update{Update: update}}) // A lost link ends itself.
+	}
+	a.grant(link)
+}
+
+// renew grants an entry its window from time to time, which also keeps the
+// link alive.
+func (a *Agent) renew(link *elmlink.Link) {
+	ticker := time.NewTicker(grantInterval)
+	defer ticker.Stop()
+	for {
+		a.grant(link)
+		select {
+		case <-ticker.C:
+		case <-link.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) grantAll() {
+	a.mutex.Lock()
+	peers := a.peerList()
+	a.mutex.Unlock()
+	for _, p := range peers {
+		a.grant(p)
+	}
+}
+
+// grant tells an entry its window and the state of the endpoint.
+func (a *Agent) grant(link *elmlink.Link) {
+	a.mutex.Lock()
+	grant := &elmwire.Grant{
+		LifetimeMs: uint32(elmcredit.Lifetime.Milliseconds()),
+		Running:    uint32(a.pool.Running()),
+		Limit:      uint32(a.pool.Limit()),
+		Leaving:    !a.takesLocked(),
+		Revision:   a.holder.Config().Revision(),
+		Closing:    a.leaving,
+	}
+	if !grant.GetLeaving() {
+		grant.Window = uint32(a.pool.Window(link.Peer().GetInstance(), time.Now()))
+	}
+	a.mutex.Unlock()
+	_ = link.Send(&elmwire.Control{Kind: &elmwire.Control_Grant{Grant: grant}}) // A lost link ends itself.
+}
--- /dev/null
+++ b/internal/agent/elmcaller/elmcaller.go
@@ -0,0 +1,187 @@
+// Package elmcaller passes requests to an endpoint over HTTP.
+//
+// A request that may not be repeated uses a connection of its own, since the
+// HTTP client would repeat some requests whose reused connection breaks.
+//
+// # Usage
+//
+//	caller := elmcaller.New("http://127.0.0.1:8000")
+//	reply, err := caller.Call(ctx, open, sink)
+package elmcaller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/observe/elmtrace"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+const (
+	// keyHeader passes the idempotency key on to the endpoint.
+	keyHeader = "Elmcove-Key"
+
+	chunkBytes   = 32 << 10
+	maxKeptBytes = 4096
+	idleConns    = 64
+	eventStream  = "text/event-stream"
+)
+
+var (
+	// ErrEndpoint reports that the endpoint gave no whole answer.
+	ErrEndpoint = errors.New("endpoint failed")
+	// ErrRefused reports that the endpoint turned a repeatable request down.
+	ErrRefused = errors.New("endpoint refused")
+)
+
+// Sink receives an answer in parts.
+type Sink interface {
+	// Head receives the status and media type, before any data.
+	Head(head *elmwire.Head) error
+	// Data receives a part of the body, and the time since the part before,
+	// which is 0 for the first.
+	Data(data []byte, step time.Duration) error
+}
+
+// Reply describes a whole answer. Body holds the start of a long body only.
+type Reply struct {
+	Status uint32
+	Media  string
+	Body   []byte
+}
+
+// Caller calls one endpoint. It is safe for concurrent use.
+type Caller struct {
+	endpoint string
+	shared   *http.Client
+	single   *http.Client
+}
+
+// New returns a Caller for the endpoint at a URL.
+func New(endpoint string) *Caller {
+	return &Caller{
+		endpoint: strings.TrimSuffix(endpoint, "/"),
+		shared:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}},
+		single:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// Close ends idle connections.
+func (c *Caller) Close() {
+	c.shared.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// Call passes a request to the endpoint and its answer to the sink. Streams of
+// events are passed on as they come, and other answers when they are whole.
+func (c *Caller) Call(ctx context.Context, open *elmwire.Open, sink Sink) (Reply, error) {
+	response, err := c.send(ctx, open)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }() // Nothing is left to read.
+	if !open.GetOnce() && refuses(response.StatusCode) {
+		return Reply{}, fmt.Errorf("%w: %s", ErrRefused, response.Status)
+	}
+	reply := Reply{Status: uint32(response.StatusCode), Media: response.Header.Get("Content-Type")}
+	if strings.HasPrefix(reply.Media, eventStream) {
+		return c.stream(reply, response.Body, sink)
+	}
+	return c.whole(reply, response.Body, sink)
+}
+
+func (c *Caller) send(ctx context.Context, open *elmwire.Open) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, open.GetMethod(), c.endpoint+open.GetPath(), bytes.NewReader(open.GetBody()))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEndpoint, err)
+	}
+	if media := open.GetMedia(); media != "" {
+		request.Header.Set("Content-Type", media)
+	}
+	if key := open.GetClaim().GetKey(); key != "" {
+		request.Header.Set(keyHeader, key)
+	}
+	if parent := elmtrace.Parent(ctx); parent != "" {
+		request.Header.Set("Traceparent", parent)
+	}
+	client := c.shared
+	if open.GetOnce() {
+		client = c.single
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEndpoint, err)
+	}
+	return response, nil
+}
+
+func (c *Caller) stream(reply Reply, body io.Reader, sink Sink) (Reply, error) {
+	if err := sink.Head(&elmwire.Head{Status: reply.Status, Media: reply.Media}); err != nil {
+		return reply, err
+	}
+	buffer := make([]byte, chunkBytes)
+	var last time.Time
+	for {
+		n, readErr := body.Read(buffer)
+		if n > 0 {
+			now := time.Now()
+			step := stepSince(last, now)
+			last = now
+			reply.Body = keep(reply.Body, buffer[:n])
+			if err := sink.Data(bytes.Clone(buffer[:n]), step); err != nil {
+				return reply, err
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return reply, nil
+		}
+		if readErr != nil {
+			return reply, fmt.Errorf("%w: %w", ErrEndpoint, readErr)
+		}
+	}
+}
+
+func (c *Caller) whole(reply Reply, body io.Reader, sink Sink) (Reply, error) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return reply, fmt.Errorf("%w: %w", ErrEndpoint, err)
+	}
+	reply.Body = data
+	if err := sink.Head(&elmwire.Head{Status: reply.Status, Media: reply.Media}); err != nil {
+		return reply, err
+	}
+	for len(data) > 0 {
+		n := min(len(data), chunkBytes)
+		if err := sink.Data(data[:n], 0); err != nil {
+			return reply, err
+		}
+		data = data[n:]
+	}
+	return reply, nil
+}
+
+// refuses reports whether a status asks to try another endpoint.
+func refuses(status int) bool {
+	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+}
+
+func stepSince(last, now time.Time) time.Duration {
+	if last.IsZero() {
+		return 0
+	}
+	return now.Sub(last)
+}
+
+// keep appends to the kept start of a body, to just over maxKeptBytes.
+func keep(kept, data []byte) []byte {
+	if len(kept) > maxKeptBytes {
+		return kept
+	}
+	return append(kept, data...)
+}
--- /dev/null
+++ b/internal/command/elmcommand/change.go
@@ -0,0 +1,83 @@
+package elmcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/user"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/elmcove/elmcove/internal/config/elmconfig"
+	"github.com/elmcove/elmcove/internal/config/elmsite"
+)
+
+const (
+	waitLimit    = 11 * time.Second
+	waitInterval = 200 * time.Millisecond
+)
+
+// change makes a change to the configuration in force, and waits for it if
+// asked to.
+func change(ctx context.Context, t *target, text string, edit elmsite.Edit) error {
+	site, err := t.open()
+	if err != nil {
+		return err
+	}
+	mine := elmconfig.Change{ID: uuid.NewString(), Operator: operator(), Time: time.Now().UTC(), Text: text}
+	accepted, err := site.Change(ctx, mine, edit)
+	var conflict *elmsite.Conflict
+	if errors.As(err, &conflict) {
+		return fmt.Errorf("%w\n  accepted: %s\n  yours:    %s\nRead the configuration again, then repeat yours if it still fits",
+			errConflict, describe(conflict.Theirs), describe(mine))
+	}
+	if err != nil {
+		return fmt.Errorf("change %s: %w", mine.ID, err)
+	}
+	if err := t.print(accepted, func(w *tabwriter.Writer) { fmt.Fprintf(w, "revision %d accepted\n", accepted.Revision) }); err != nil {
+		return err
+	}
+	if !t.wait {
+		return nil
+	}
+	return await(ctx, site, accepted.Revision)
+}
+
+// await shows progress until all processes have a revision in force.
+func await(ctx context.Context, site *elmsite.Site, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, waitLimit)
+	defer cancel()
+	start := time.Now()
+	last := elmsite.Progress{}
+	for {
+		progress, err := site.Progress(ctx, revision)
+		if err == nil && progress != last {
+			fmt.Fprintf(os.Stderr, "in force at %d of %d entries and %d of %d agents\n",
+				progress.Entries, progress.AllEntries, progress.Agents, progress.AllAgents)
+			last = progress
+		}
+		if err == nil && progress.Done() {
+			fmt.Fprintf(os.Stderr, "revision %d is in force everywhere after %s\n", revision, time.Since(start).Round(time.Millisecond))
+			return nil
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("%w: revision %d", errLate, revision)
+		}
+	}
+}
+
+func describe(c elmconfig.Change) string {
+	return fmt.Sprintf("%q by %s at %s", c.Text, c.Operator, c.Time.Format("15:04:05"))
+}
+
+func operator() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/command/elmcommand/elmcommand.go
@@ -0,0 +1,79 @@
+// Package elmcommand is the command line of elmcove.
+//
+// # Usage
+//
+//	commander := subcommands.NewCommander(flag.CommandLine, "elmcove")
+//	elmcommand.Register(commander)
+//	status := commander.Execute(ctx)
+//
+// Exit codes: 0 success, 1 failure, 2 wrong usage, 3 conflict with another
+// change, 4 accepted but not in force in time, 5 not known whether accepted.
+package elmcommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// Exit codes beyond those of the subcommands package.
+const (
+	// ExitConflict means that another change was accepted first.
+	ExitConflict subcommands.ExitStatus = 3
+	// ExitLate means that a change is accepted but not in force in time.
+	ExitLate subcommands.ExitStatus = 4
+	// ExitUnknown means that it is not known whether a change was accepted.
+	ExitUnknown subcommands.ExitStatus = 5
+)
+
+// Register adds all commands to a commander.
+func Register(commander *subcommands.Commander) {
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	for _, c := range []*command{entryCommand(), agentCommand()} {
+		commander.Register(c, "processes")
+	}
+	for _, c := range operatorCommands() {
+		commander.Register(c, "operators")
+	}
+	for _, c := range []*command{keysCommand(), referenceCommand(), versionCommand()} {
+		commander.Register(c, "other")
+	}
+}
+
+// command adapts a function to the subcommands package.
+type command struct {
+	name     string
+	synopsis string
+	usage    string
+	flags    func(*flag.FlagSet)
+	run      func(ctx context.Context, args []string) error
+	args     int
+}
+
+func (c *command) Name() string     { return c.name }
+func (c *command) Synopsis() string { return c.synopsis }
+func (c *command) Usage() string    { return "elmcove " + c.usage + "\n  " + c.synopsis + "\n" }
+
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != c.args {
+		fmt.Fprintf(os.Stderr, "%d arguments wanted, got %d\n%s", c.args, f.NArg(), c.Usage())
+		return subcommands.ExitUsageError
+	}
+	err := c.run(ctx, f.Args())
+	if err == nil {
+		return subcommands.ExitSuccess
+	}
+	fmt.Fprintln(os.Stderr, "elmcove "+c.name+":", err)
+	return status(err)
+}
--- /dev/null
+++ b/internal/command/elmcommand/errors.go
@@ -0,0 +1,27 @@
+package elmcommand
+
+import (
+	"errors"
+
+	"github.com/google/subcommands"
+
+	"github.com/elmcove/elmcove/internal/platform/elmstore"
+)
+
+var (
+	errConflict = errors.New("another change was accepted first")
+	errLate     = errors.New("accepted, but not in force everywhere in time")
+	errFailed   = errors.New("command failed")
+)
+
+func status(err error) subcommands.ExitStatus {
+	switch {
+	case errors.Is(err, errConflict):
+		return ExitConflict
+	case errors.Is(err, errLate):
+		return ExitLate
+	case errors.Is(err, elmstore.ErrUnavailable):
+		return ExitUnknown
+	}
+	return subcommands.ExitFailure
+}
--- /dev/null
+++ b/internal/command/elmcommand/operators.go
@@ -0,0 +1,245 @@
+package elmcommand
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/elmcove/elmcove/internal/config/elmconfig"
+	"github.com/elmcove/elmcove/internal/config/elmsite"
+)
+
+// target is the flags that all operators' commands share.
+type target struct {
+	platform string
+	site     string
+	output   string
+	wait     bool
+}
+
+func (t *target) set(f *flag.FlagSet) {
+	f.StringVar(&t.platform, "platform", "http://127.0.0.1:9000", "URL of the platform's services")
+	f.StringVar(&t.site, "site", "granite", "name of the site")
+	f.StringVar(&t.output, "o", "text", "output: text or json")
+}
+
+func (t *target) setWait(f *flag.FlagSet) {
+	t.set(f)
+	f.BoolVar(&t.wait, "wait", false, "wait until the change is in force everywhere")
+}
+
+func (t *target) open() (*elmsite.Site, error) {
+	return elmsite.New(t.platform, t.site)
+}
+
+func operatorCommands() []*command {
+	return []*command{
+		checkCommand(), applyCommand(), historyCommand(), statusCommand(), explainCommand(),
+		datacentreCommand("out", "Takes a data centre out, so that it receives no new work.", elmconfig.StateOut),
+		datacentreCommand("back", "Lets a data centre receive new work again.", elmconfig.StateIn),
+		drainCommand("drain", "Drains an endpoint, so that it receives no new work.", true),
+		drainCommand("undrain", "Lets a drained endpoint receive new work again.", false),
+	}
+}
+
+func checkCommand() *command {
+	var base, overlay string
+	return &command{
+		name:     "check",
+		synopsis: "Checks a base file with an overlay.",
+		usage:    "check -base FILE [-overlay FILE]",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&base, "base", "base.json", "base file")
+			f.StringVar(&overlay, "overlay", "", "overlay file")
+		},
+		run: func(context.Context, []string) error {
+			config, err := loadConfig(base, overlay)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("site %s: %d data centres, %d services, %d workspaces\n",
+				config.Site, len(config.Datacentres), len(config.Services), len(config.Workspaces))
+			return nil
+		},
+	}
+}
+
+func applyCommand() *command {
+	var t target
+	var base, overlay string
+	var reset bool
+	return &command{
+		name:     "apply",
+		synopsis: "Puts a base file with an overlay in force. Data centres that are out and endpoints that are drained stay so.",
+		usage:    "apply -base FILE [-overlay FILE] [-wait] [-reset]",
+		flags: func(f *flag.FlagSet) {
+			t.setWait(f)
+			f.StringVar(&base, "base", "base.json", "base file")
+			f.StringVar(&overlay, "overlay", "", "overlay file")
+			f.BoolVar(&reset, "reset", false, "take the states of data centres and endpoints from the files")
+		},
+		run: func(ctx context.Context, _ []string) error {
+			wanted, err := loadConfig(base, overlay)
+			if err != nil {
+				return err
+			}
+			t.site = wanted.Site
+			return change(ctx, &t, "apply "+base+" "+overlay, func(present elmconfig.Config) (elmconfig.Config, error) {
+				if reset {
+					wanted.Changes = present.Changes
+					return wanted, nil
+				}
+				return wanted.WithStates(present), nil
+			})
+		},
+	}
+}
+
+func datacentreCommand(name, synopsis, state string) *command {
+	var t target
+	return &command{
+		name:     name,
+		synopsis: synopsis,
+		usage:    name + " [-wait] DATACENTRE",
+		flags:    t.setWait,
+		args:     1,
+		run: func(ctx context.Context, args []string) error {
+			return change(ctx, &t, name+" "+args[0], func(present elmconfig.Config) (elmconfig.Config, error) {
+				return present.WithDatacentre(args[0], state)
+			})
+		},
+	}
+}
+
+func drainCommand(name, synopsis string, drained bool) *command {
+	var t target
+	return &command{
+		name:     name,
+		synopsis: synopsis,
+		usage:    name + " [-wait] INSTANCE",
+		flags:    t.setWait,
+		args:     1,
+		run: func(ctx context.Context, args []string) error {
+			return change(ctx, &t, name+" "+args[0], func(present elmconfig.Config) (elmconfig.Config, error) {
+				return present.WithDrained(args[0], drained), nil
+			})
+		},
+	}
+}
+
+func historyCommand() *command {
+	var t target
+	return &command{
+		name:     "history",
+		synopsis: "Shows the last accepted changes.",
+		usage:    "history",
+		flags:    t.set,
+		run: func(ctx context.Context, _ []string) error {
+			site, err := t.open()
+			if err != nil {
+				return err
+			}
+			config, err := site.Config(ctx)
+			if err != nil {
+				return err
+			}
+			return t.print(config.Changes, func(w *tabwriter.Writer) {
+				for _, c := range config.Changes {
+					fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", c.Revision, c.Time.Format("2006-01-02 15:04:05"), c.Operator, c.Text, c.ID)
+				}
+			})
+		},
+	}
+}
+
+func statusCommand() *command {
+	var t target
+	return &command{
+		name:     "status",
+		synopsis: "Shows the entries and what they know of the agents.",
+		usage:    "status",
+		flags:    t.set,
+		run: func(ctx context.Context, _ []string) error {
+			site, err := t.open()
+			if err != nil {
+				return err
+			}
+			entries, err := site.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return t.print(entries, func(w *tabwriter.Writer) {
+				fmt.Fprintln(w, "ENTRY\tAGENT\tDATA CENTRE\tSERVICE\tLINKED\tLEAVING\tOPEN\tWINDOW\tRUNNING\tLIMIT\tREVISION")
+				for _, e := range entries {
+					for _, a := range e.Agents {
+						fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%t\t%d\t%d\t%d\t%d\t%d\n", e.Instance, a.Agent, a.Datacentre,
+							a.Service, a.Linked, a.Leaving, a.Outstanding, a.Window, a.Running, a.Limit, a.Revision)
+					}
+				}
+			})
+		},
+	}
+}
+
+func explainCommand() *command {
+	var t target
+	return &command{
+		name:     "explain",
+		synopsis: "Shows why a request was placed, retried or refused.",
+		usage:    "explain REQUEST",
+		flags:    t.set,
+		args:     1,
+		run: func(ctx context.Context, args []string) error {
+			site, err := t.open()
+			if err != nil {
+				return err
+			}
+			lines, err := site.Explain(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			return t.print(lines, func(w *tabwriter.Writer) {
+				for _, l := range lines {
+					fmt.Fprintf(w, "%s\t%s\n", l.Time.Format("15:04:05.000"), l.Text)
+				}
+			})
+		},
+	}
+}
+
+// print shows a value as JSON, or as a table.
+func (t *target) print(value any, table func(*tabwriter.Writer)) error {
+	switch t.output {
+	case "json":
+		return json.NewEncoder(os.Stdout).Encode(value)
+	case "text":
+		w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+		table(w)
+		return w.Flush()
+	}
+	return fmt.Errorf("%w: -o is text or json, not %q", errFailed, t.output)
+}
+
+func loadConfig(base, overlay string) (elmconfig.Config, error) {
+	baseText, err := os.ReadFile(base)
+	if err != nil {
+		return elmconfig.Config{}, fmt.Errorf("%w: %w", errFailed, err)
+	}
+	var overlayText []byte
+	if overlay != "" {
+		if overlayText, err = os.ReadFile(overlay); err != nil {
+			return elmconfig.Config{}, fmt.Errorf("%w: %w", errFailed, err)
+		}
+	}
+	document, err := elmconfig.Merge(
+		elmconfig.Source{Name: base, Text: baseText},
+		elmconfig.Source{Name: overlay, Text: overlayText},
+	)
+	if err != nil {
+		return elmconfig.Config{}, err
+	}
+	return elmconfig.Decode(document)
+}
--- /dev/null
+++ b/internal/config/elmconfig/elmconfig.go
@@ -0,0 +1,239 @@
+// Package elmconfig reads and checks the configuration that operators write.
+//
+// A site's configuration is a base file with an overlay, both in JSON with
+// comments. The overlay is merged into the base as a JSON merge patch (RFC
+// 7396): objects are merged key by key, null removes a key, and any other
+// value replaces the one in the base. The result is checked against
+// config.schema.json, and keys that the schema does not know are refused.
+//
+// # Usage
+//
+//	document, err := elmconfig.Merge(base, overlay)
+//	config, err := elmconfig.Decode(document)
+//	workspace, ok := config.Authenticate("secret")
+package elmconfig
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+)
+
+const (
+	defaultConcurrency = 256
+	defaultBytes       = 1 << 20
+	defaultTime        = 2 * time.Minute
+
+	maxChanges = 20
+
+	// StateIn means that a data centre receives new work.
+	StateIn = "in"
+	// StateOut means that a data centre receives no new work.
+	StateOut = "out"
+
+	hashPrefix   = "sha256:"
+	kindModel    = "model"
+	schemaSource = "config.schema.json"
+)
+
+// ErrInvalid reports a configuration that can't be used.
+var ErrInvalid = errors.New("invalid configuration")
+
+// Datacentre is the configuration of a data centre.
+type Datacentre struct {
+	State string `json:"state"`
+}
+
+// Service is the configuration of a model or plain service.
+type Service struct {
+	Kind    string   `json:"kind"`
+	Once    []string `json:"once,omitempty"`
+	Seconds int      `json:"seconds,omitempty"`
+}
+
+// Workspace is the configuration of a workspace.
+type Workspace struct {
+	Credential  string `json:"credential"`
+	Concurrency int    `json:"concurrency,omitempty"`
+	Bytes       int64  `json:"bytes,omitempty"`
+}
+
+// Change describes an accepted change.
+type Change struct {
+	ID       string    `json:"id"`
+	Revision uint64    `json:"revision"`
+	Operator string    `json:"operator"`
+	Time     time.Time `json:"time"`
+	Text     string    `json:"text"`
+}
+
+// Config is the configuration of one site at one revision. It is immutable.
+type Config struct {
+	Site        string                `json:"site"`
+	Datacentres map[string]Datacentre `json:"datacentres"`
+	Services    map[string]Service    `json:"services"`
+	Workspaces  map[string]Workspace  `json:"workspaces"`
+	Drained     []string              `json:"drained,omitempty"`
+	// Changes are the last changes, the newest last. They are not part of
+	// the operators' files.
+	Changes []Change `json:"changes,omitempty"`
+
+	revision    uint64
+	document    []byte
+	credentials map[string]string
+}
+
+// Merge merges an overlay into a base file and checks the result. The error
+// names the file, line and key of each fault. An overlay may be empty.
+func Merge(base, overlay Source) ([]byte, error) {
+	document, err := base.standardize()
+	if err != nil {
+		return nil, err
+	}
+	if len(overlay.Text) > 0 {
+		patch, err := overlay.standardize()
+		if err != nil {
+			return nil, err
+		}
+		document, err = jsonpatch.MergePatch(document, patch)
+		if err != nil {
+			return nil, fmt.Errorf("%w: merge %s: %w", ErrInvalid, overlay.Name, err)
+		}
+	}
+	return document, validate(document, overlay, base)
+}
+
+// Decode reads a merged configuration.
+func Decode(document []byte) (Config, error) {
+	decoder := json.NewDecoder(bytes.NewReader(document))
+	decoder.DisallowUnknownFields()
+	var c Config
+	if err := decoder.Decode(&c); err != nil {
+		return Config{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	c.document = document
+	c.credentials = make(map[string]string, len(c.Workspaces))
+	for name, w := range c.Workspaces {
+		c.credentials[w.Credential] = name
+	}
+	return c, nil
+}
+
+// WithRevision returns a copy at a revision.
+func (c Config) WithRevision(revision uint64) Config {
+	c.revision = revision
+	return c
+}
+
+// WithDatacentre returns a copy in which a data centre is in or out.
+func (c Config) WithDatacentre(name, state string) (Config, error) {
+	if _, ok := c.Datacentres[name]; !ok {
+		return c, fmt.Errorf("%w: no data centre %q, have %s", ErrInvalid, name, names(c.Datacentres))
+	}
+	c.Datacentres = maps.Clone(c.Datacentres)
+	c.Datacentres[name] = Datacentre{State: state}
+	return c, nil
+}
+
+// WithDrained returns a copy in which an endpoint is drained or not.
+func (c Config) WithDrained(instance string, drained bool) Config {
+	c.Drained = slices.DeleteFunc(slices.Clone(c.Drained), func(d string) bool { return d == instance })
+	if drained {
+		c.Drained = append(c.Drained, instance)
+	}
+	return c
+}
+
+// WithChange returns a copy that ends its list of changes with another.
+func (c Config) WithChange(change Change) Config {
+	c.Changes = append(slices.Clone(c.Changes), change)
+	c.Changes = c.Changes[max(len(c.Changes)-maxChanges, 0):]
+	return c
+}
+
+// WithStates returns a copy that takes over from another configuration which
+// data centres are out, which endpoints are drained, and the past changes.
+func (c Config) WithStates(other Config) Config {
+	c.Datacentres = maps.Clone(c.Datacentres)
+	for name := range c.Datacentres {
+		if present, ok := other.Datacentres[name]; ok {
+			c.Datacentres[name] = present
+		}
+	}
+	c.Drained = other.Drained
+	c.Changes = other.Changes
+	return c
+}
+
+// Encode returns the configuration as one JSON document.
+func (c Config) Encode() ([]byte, error) {
+	document, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return document, nil
+}
+
+// Revision returns the revision, which is 0 before any was accepted.
+func (c Config) Revision() uint64 { return c.revision }
+
+// Document returns the document that the configuration was decoded from.
+func (c Config) Document() []byte { return c.document }
+
+// Authenticate returns the name of the workspace with a credential.
+func (c Config) Authenticate(credential string) (string, bool) {
+	sum := sha256.Sum256([]byte(credential))
+	name, ok := c.credentials[hashPrefix+hex.EncodeToString(sum[:])]
+	return name, ok
+}
+
+// Takes reports whether an endpoint in a data centre may receive new work.
+func (c Config) Takes(datacentre, instance string) bool {
+	return c.Datacentres[datacentre].State != StateOut && !slices.Contains(c.Drained, instance)
+}
+
+// Concurrency returns the number of requests that a workspace may have open.
+func (c Config) Concurrency(workspace string) int {
+	return orDefault(c.Workspaces[workspace].Concurrency, defaultConcurrency)
+}
+
+// Bytes returns the longest request body of a workspace.
+func (c Config) Bytes(workspace string) int64 {
+	return orDefault(c.Workspaces[workspace].Bytes, defaultBytes)
+}
+
+// Time returns the longest time for one request to a service.
+func (c Config) Time(service string) time.Duration {
+	return orDefault(time.Duration(c.Services[service].Seconds)*time.Second, defaultTime)
+}
+
+// Model reports whether a service is a configured model.
+func (c Config) Model(service string) bool { return c.Services[service].Kind == kindModel }
+
+// Repeatable reports whether a call of a service may run more than once.
+func (c Config) Repeatable(service, method, path string) bool {
+	call := method + " " + path
+	return !slices.ContainsFunc(c.Services[service].Once, func(prefix string) bool {
+		return strings.HasPrefix(call, prefix)
+	})
+}
+
+func orDefault[T int | int64 | time.Duration](value, fallback T) T {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func names[T any](items map[string]T) string {
+	return strings.Join(slices.Sorted(maps.Keys(items)), ", ")
+}
--- /dev/null
+++ b/internal/config/elmconfig/source.go
@@ -0,0 +1,121 @@
+package elmconfig
+
+import (
+	"bytes"
+	_ "embed" // The schema is embedded.
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"github.com/tailscale/hujson"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Source is a file of JSON with comments, with the name used in errors.
+type Source struct {
+	Name string
+	Text []byte
+}
+
+// Schema is the JSON Schema of the configuration.
+//
+//go:embed config.schema.json
+var Schema []byte
+
+var (
+	schema  = compileSchema()
+	printer = message.NewPrinter(language.English)
+)
+
+// standardize returns the source as plain JSON.
+func (s Source) standardize() ([]byte, error) {
+	value, err := hujson.Parse(s.Text)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrInvalid, s.Name, err)
+	}
+	value.Standardize()
+	return value.Pack(), nil
+}
+
+// line returns the line of a key, or 0 if the source does not have it.
+func (s Source) line(pointer string) int {
+	value, err := hujson.Parse(s.Text)
+	if err != nil {
+		return 0
+	}
+	found := value.Find(pointer)
+	if found == nil {
+		return 0
+	}
+	return 1 + bytes.Count(s.Text[:found.StartOffset], []byte("\n"))
+}
+
+func compileSchema() *jsonschema.Schema {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(Schema))
+	if err != nil {
+		panic(err) // The schema is part of the program.
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(schemaSource, document); err != nil {
+		panic(err)
+	}
+	return compiler.MustCompile(schemaSource)
+}
+
+// validate checks a document and places each fault in the first source that
+// has its key.
+func validate(document []byte, sources ...Source) error {
+	instance, err := jsonschema.UnmarshalJSON(bytes.NewReader(document))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	var invalid *jsonschema.ValidationError
+	if errors.As(schema.Validate(instance), &invalid) {
+		return errors.Join(faults(invalid, sources)...)
+	}
+	return nil
+}
+
+func faults(e *jsonschema.ValidationError, sources []Source) []error {
+	var all []error
+	for _, cause := range e.Causes {
+		all = append(all, faults(cause, sources)...)
+	}
+	if len(e.Causes) > 0 {
+		return all
+	}
+	for _, pointer := range pointers(e) {
+		text := e.ErrorKind.LocalizedString(printer)
+		all = append(all, fmt.Errorf("%w: %s: %s: %s", ErrInvalid, place(pointer, sources), pointer, text))
+	}
+	return all
+}
+
+// pointers returns the JSON pointers of the keys at fault.
+func pointers(e *jsonschema.ValidationError) []string {
+	pointer := ""
+	for _, token := range e.InstanceLocation {
+		pointer += "/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(token)
+	}
+	extra, ok := e.ErrorKind.(*kind.AdditionalProperties)
+	if !ok {
+		return []string{pointer}
+	}
+	all := make([]string, 0, len(extra.Properties))
+	for _, property := range extra.Properties {
+		all = append(all, pointer+"/"+property)
+	}
+	return all
+}
+
+func place(pointer string, sources []Source) string {
+	for _, s := range sources {
+		if line := s.line(pointer); line > 0 {
+			return fmt.Sprintf("%s:%d", s.Name, line)
+		}
+	}
+	return sources[len(sources)-1].Name
+}
--- /dev/null
+++ b/internal/entry/elmentry/elmentry.go
@@ -0,0 +1,217 @@
+// Package elmentry runs the entry process, which takes the requests of callers,
+// places each with an endpoint, and passes the answer back.
+//
+// # Usage
+//
+//	entry, err := elmentry.New(settings, elmentry.WithLogger(logger))
+//	err = entry.Run(ctx) // Drains when ctx ends.
+package elmentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/elmcove/elmcove/internal/config/elmholder"
+	"github.com/elmcove/elmcove/internal/config/elmsettings"
+	"github.com/elmcove/elmcove/internal/entry/elmfleet"
+	"github.com/elmcove/elmcove/internal/entry/elmledger"
+	"github.com/elmcove/elmcove/internal/entry/elmpause"
+	"github.com/elmcove/elmcove/internal/limit/elmbudget"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/observe/elmtrace"
+	"github.com/elmcove/elmcove/internal/platform/elmroster"
+	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/route/elmpicker"
+	"github.com/elmcove/elmcove/internal/wire/elmkeys"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+const (
+	ledgerSize    = 4096
+	headerTimeout = 10 * time.Second
+	headerBytes   = 32 << 10
+	drainTimeout  = 2 * time.Minute
+)
+
+// ErrEntry reports that the entry can't run.
+var ErrEntry = errors.New("entry")
+
+// Entry is an entry process.
+type Entry struct {
+	settings elmsettings.Settings
+	keys     *elmkeys.Keys
+	store    *elmstore.Store
+	holder   *elmholder.Holder
+	fleet    *elmfleet.Fleet
+	ledger   *elmledger.Ledger
+	pause    *elmpause.Detector
+	logger   *elmlog.Logger
+	tracer   *elmtrace.Tracer
+	meter    *elmmeter.Meter
+	life     string
+	serial   atomic.Uint64
+	draining atomic.Bool
+
+	mutex  sync.Mutex
+	picker *elmpicker.Picker
+	budget elmbudget.Budget
+	roster elmroster.Roster
+	open   map[string]int
+}
+
+// New returns an entry that is not running yet.
+func New(settings elmsettings.Settings, options ...Option) (*Entry, error) {
+	keys, err := elmkeys.Load(settings.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
+	}
+	store, err := elmstore.New(settings.Platform)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
+	}
+	e := &Entry{
+		settings: settings,
+		keys:     keys,
+		store:    store,
+		holder:   elmholder.New(),
+		ledger:   elmledger.New(ledgerSize),
+		pause:    elmpause.New(),
+		logger:   elmlog.Discard(),
+		tracer:   elmtrace.Discard(),
+		meter:    elmmeter.New(),
+		life:     uuid.NewString(),
+		picker:   elmpicker.New(settings.Datacentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		budget:   elmbudget.New(),
+		open:     map[string]int{},
+	}
+	for _, option := range options {
+		option(e)
+	}
+	hello := &elmwire.Hello{Instance: settings.Instance, Datacentre: settings.Datacentre, Incarnation: e.life}
+	e.fleet = elmfleet.New(hello, keys.Client(), e, e.logger)
+	return e, nil
+}
+
+// Run serves callers until the context ends, and then drains: it asks the
+// platform's balancer to stop sending requests, serves those that still come
+// within the balancer's lag, and finishes all that it has taken.
+func (e *Entry) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer e.fleet.Wait()
+	defer stop()
+	go e.pause.Run(base, e.reportPause)
+	go e.followRoster(base)
+	go e.followConfig(base)
+	server, err := e.listen(ctx)
+	if err != nil {
+		return err
+	}
+	e.logger.Event(elmlog.Started, "http", e.settings.HTTP, "incarnation", e.life)
+	<-ctx.Done()
+	return e.drain(base, server)
+}
+
+func (e *Entry) listen(ctx context.Context) (*http.Server, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.settings.HTTP)
+	if err != nil {
+		return nil, fmt.Errorf("%w: listen %s: %w", ErrEntry, e.settings.HTTP, err)
+	}
+	handler, err := e.handler()
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.logger.Event(elmlog.Failed, "error", err)
+		}
+	}()
+	return server, nil
+}
+
+func (e *Entry) drain(ctx context.Context, server *http.Server) error {
+	e.logger.Event(elmlog.Stopping)
+	e.draining.Store(true)
+	server.SetKeepAlivesEnabled(false)
+	time.Sleep(time.Duration(e.settings.Lag) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("%w: drain: %w", ErrEntry, err)
+	}
+	e.logger.Event(elmlog.Stopped)
+	return nil
+}
+
+func (e *Entry) reportPause(gap time.Duration) {
+	e.logger.Event(elmlog.ProcessThawed, "gap", gap)
+}
+
+// pick chooses an agent for a service. After the first attempt only agents
+// with credits are asked.
+func (e *Entry) pick(service, prefix string, tried []string) (string, bool) {
+	candidates := e.allowed(e.fleet.Candidates(service, tried), len(tried) > 0)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	chosen, ok := e.picker.Pick(candidates, prefix)
+	return chosen.Agent, ok
+}
+
+// allowed returns the candidates that the configuration lets take new work.
+func (e *Entry) allowed(candidates []elmpicker.Candidate, credited bool) []elmpicker.Candidate {
+	config := e.holder.Config()
+	allowed := make([]elmpicker.Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if credited && c.Credits == 0 {
+			continue
+		}
+		if config.Takes(c.Datacentre, c.Agent) {
+			allowed = append(allowed, c)
+		}
+	}
+	return allowed
+}
+
+// enter counts a request of a workspace, unless it is at its limit.
+func (e *Entry) enter(workspace string, limit int) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.open[workspace] >= limit {
+		return false
+	}
+	e.open[workspace]++
+	e.budget = e.budget.Deposit()
+	return true
+}
+
+func (e *Entry) leave(workspace string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.open[workspace]--
+	if e.open[workspace] == 0 {
+		delete(e.open, workspace)
+	}
+}
+
+// withdraw takes a retry from the budget and reports whether none was left.
+func (e *Entry) withdraw() (spent bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	budget, ok := e.budget.Withdraw()
+	e.budget = budget
+	return !ok
+}
+
+func (e *Entry) newRequestID() string {
+	return fmt.Sprintf("%s-%s-%d", e.settings.Instance, e.life[:8], e.serial.Add(1))
+}
--- /dev/null
+++ b/internal/entry/elmentry/exchange.go
@@ -0,0 +1,372 @@
+package elmentry
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/elmcove/elmcove/internal/entry/elmfleet"
+	"github.com/elmcove/elmcove/internal/entry/elmrequest"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/observe/elmtrace"
+	"github.com/elmcove/elmcove/internal/state/elmclaim"
+	"github.com/elmcove/elmcove/internal/wire/elmapi"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+const (
+	outcomes     = elmmeter.Requests
+	writeTimeout = 30 * time.Second
+	eventStream  = "text/event-stream"
+	errorEvent   = "event: error\ndata: {\"error\":{\"message\":\"the answer broke off\",\"type\":\"incomplete\"}}\n\n"
+)
+
+// call is a request as it goes to an endpoint.
+type call struct {
+	service    string
+	method     string
+	path       string
+	media      string
+	body       []byte
+	prefix     string
+	key        string
+	repeatable bool
+}
+
+// exchange carries out the commands of one elmrequest.Request.
+type exchange struct {
+	entry    *Entry
+	ctx      context.Context
+	w        http.ResponseWriter
+	call     call
+	start    time.Time
+	deadline time.Time
+	request  elmrequest.Request
+	attempt  *elmfleet.Call
+	messages chan elmrequest.Message
+	stop     context.CancelFunc
+	head     *elmrequest.Begin
+	began    bool
+	left     bool
+}
+
+// serve answers one request.
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, sender caller, c call) {
+	ctx, span := e.tracer.Start(ctx, "entry", "")
+	defer span.End()
+	request, err := e.newRequest(sender, c)
+	if err != nil {
+		e.refuse(w, problem{status: http.StatusBadRequest, title: "idempotency key is not accepted", detail: err.Error()})
+		return
+	}
+	now := time.Now()
+	x := &exchange{
+		entry:    e,
+		ctx:      ctx,
+		w:        w,
+		call:     c,
+		start:    now,
+		deadline: now.Add(sender.config.Time(c.service)),
+		request:  request,
+		stop:     func() {},
+	}
+	defer x.close()
+	x.run()
+}
+
+func (e *Entry) newRequest(sender caller, c call) (elmrequest.Request, error) {
+	id := e.newRequestID()
+	if c.repeatable {
+		return elmrequest.New(id, elmrequest.Repeatable), nil
+	}
+	if c.key == "" {
+		return elmrequest.New(id, elmrequest.Once), nil
+	}
+	key, err := elmclaim.Parse(sender.workspace, c.key, time.Now())
+	if err != nil {
+		return elmrequest.Request{}, err
+	}
+	digest := sha256.Sum256([]byte(c.service + "\x00" + c.method + "\x00" + c.path + "\x00" + string(c.body)))
+	return elmrequest.New(id, elmrequest.Keyed).WithKey(key.Record(), digest[:]), nil
+}
+
+// run drives the decisions until the request has ended.
+func (x *exchange) run() {
+	queue := []elmrequest.Message{elmrequest.Start{}}
+	for !x.request.Done() {
+		if len(queue) == 0 {
+			queue = append(queue, x.wait())
+		}
+		message := queue[0]
+		queue = queue[1:]
+		queue = append(queue, x.update(message)...)
+	}
+}
+
+func (x *exchange) update(message elmrequest.Message) []elmrequest.Message {
+	before := x.request.State()
+	request, commands := x.request.Update(message)
+	x.request = request
+	if request.State() != before {
+		x.entry.ledger.Note(request.ID(), fmt.Sprintf("%s → %s on %T", before, request.State(), message))
+	}
+	var replies []elmrequest.Message
+	for _, c := range commands {
+		if reply := x.perform(c); reply != nil {
+			replies = append(replies, reply)
+		}
+	}
+	return replies
+}
+
+// wait returns the next message from outside.
+func (x *exchange) wait() elmrequest.Message {
+	timer := time.NewTimer(time.Until(x.deadline))
+	defer timer.Stop()
+	gone := x.ctx.Done()
+	if x.left {
+		gone = nil
+	}
+	select {
+	case message := <-x.messages:
+		return message
+	case <-gone:
+		x.left = true
+		x.entry.logger.Event(elmlog.RequestAbandoned, "request", x.request.ID())
+		return elmrequest.Left{}
+	case <-timer.C:
+		return elmrequest.Expired{}
+	}
+}
+
+// perform carries out a command and returns the message that it leads to.
+func (x *exchange) perform(command elmrequest.Command) elmrequest.Message {
+	switch c := command.(type) {
+	case elmrequest.Read:
+		return x.read(c)
+	case elmrequest.Void:
+		return x.void(c)
+	case elmrequest.Place:
+		return x.place(c)
+	case elmrequest.Send:
+		return x.send(c)
+	case elmrequest.Cancel:
+		x.close()
+	case elmrequest.Begin:
+		x.head = &c
+	case elmrequest.Write:
+		return x.write(c.Bytes)
+	case elmrequest.Finish:
+		x.begin()
+		x.entry.meter.Count(outcomes, "outcome", "whole")
+	case elmrequest.Abort:
+		x.abort()
+	case elmrequest.Refuse:
+		x.refuse(refusal(x.request, c))
+	case elmrequest.Replay:
+		x.replay(c.Tally)
+	}
+	return nil
+}
+
+func (x *exchange) read(c elmrequest.Read) elmrequest.Message {
+	if x.entry.pause.Paused(x.start) {
+		return elmrequest.Thawed{}
+	}
+	value, err := x.entry.store.Read(x.storeContext(), c.Key)
+	if err != nil {
+		return elmrequest.StoreFailed{}
+	}
+	tally := &elmwire.Tally{}
+	if err := proto.Unmarshal(value.Data, tally); err != nil {
+		return elmrequest.StoreFailed{}
+	}
+	return elmrequest.Tallied{Version: value.Version, Tally: tally}
+}
+
+func (x *exchange) void(c elmrequest.Void) elmrequest.Message {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.Tally)
+	if err != nil {
+		return elmrequest.StoreFailed{}
+	}
+	hour := elmclaim.Hour(time.Now())
+	result, err := x.entry.store.SwapFor(x.storeContext(), c.Key, c.Version, data, hour, elmclaim.Life)
+	if err != nil {
+		return elmrequest.StoreFailed{}
+	}
+	if result.Won {
+		return elmrequest.Voided{Version: result.Value.Version}
+	}
+	tally := &elmwire.Tally{}
+	if err := proto.Unmarshal(result.Value.Data, tally); err != nil {
+		return elmrequest.StoreFailed{}
+	}
+	return elmrequest.Tallied{Version: result.Value.Version, Tally: tally}
+}
+
+// storeContext lets calls to the key-value service finish though the caller
+// has left. The store bounds their time.
+func (x *exchange) storeContext() context.Context {
+	return context.WithoutCancel(x.ctx)
+}
+
+func (x *exchange) place(c elmrequest.Place) elmrequest.Message {
+	if x.request.Kind() == elmrequest.Keyed && x.entry.pause.Paused(x.start) {
+		return elmrequest.Thawed{}
+	}
+	if len(c.Tried) > 0 {
+		x.entry.meter.Count(elmmeter.Retries, "service", x.call.service)
+		x.entry.logger.Event(elmlog.RequestRetried, "request", x.request.ID(), "tried", strings.Join(c.Tried, ","))
+	}
+	agent, ok := x.entry.pick(x.call.service, x.call.prefix, c.Tried)
+	if !ok {
+		return elmrequest.Unplaced{}
+	}
+	return elmrequest.Placed{Agent: agent}
+}
+
+func (x *exchange) send(c elmrequest.Send) elmrequest.Message {
+	x.close()
+	x.entry.ledger.Note(x.request.ID(), "sent to "+c.Agent)
+	attempt, err := x.entry.fleet.Call(x.ctx, c.Agent, &elmwire.Open{
+		Request:    x.request.ID(),
+		Attempt:    c.Attempt,
+		Trace:      elmtrace.Parent(x.ctx),
+		Method:     x.call.method,
+		Path:       x.call.path,
+		Media:      x.call.media,
+		Body:       x.call.body,
+		DeadlineMs: uint32(max(time.Until(x.deadline).Milliseconds(), 0)),
+		Once:       x.request.Kind() != elmrequest.Repeatable,
+		Claim:      c.Claim,
+	})
+	if errors.Is(err, elmfleet.ErrGone) {
+		return elmrequest.Refused{Refusal: &elmwire.Refusal{Reason: elmwire.Reason_REASON_STALE, Unrun: true}}
+	}
+	if err != nil {
+		return elmrequest.Broken{Spent: x.entry.withdraw()}
+	}
+	x.attempt = attempt
+	x.messages = make(chan elmrequest.Message)
+	ctx, stop := context.WithCancel(context.WithoutCancel(x.ctx))
+	x.stop = stop
+	go x.receive(ctx, attempt, x.messages)
+	return nil
+}
+
+// receive passes on the frames of an attempt until it ends.
+func (x *exchange) receive(ctx context.Context, attempt *elmfleet.Call, messages chan<- elmrequest.Message) {
+	for {
+		message, more := x.next(attempt)
+		select {
+		case messages <- message:
+		case <-ctx.Done():
+			return
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+func (x *exchange) next(attempt *elmfleet.Call) (message elmrequest.Message, more bool) {
+	frame, err := attempt.Next()
+	if err != nil {
+		return elmrequest.Broken{Spent: x.entry.withdraw()}, false
+	}
+	switch kind := frame.GetKind().(type) {
+	case *elmwire.Frame_Head:
+		return elmrequest.Headed{Status: kind.Head.GetStatus(), Media: kind.Head.GetMedia()}, true
+	case *elmwire.Frame_Data:
+		return elmrequest.Data{Bytes: kind.Data}, true
+	case *elmwire.Frame_End:
+		return elmrequest.Ended{}, false
+	case *elmwire.Frame_Refusal:
+		spent := !kind.Refusal.GetUnrun() && x.entry.withdraw()
+		return elmrequest.Refused{Refusal: kind.Refusal, Spent: spent}, false
+	}
+	return elmrequest.Broken{}, false
+}
+
+// begin sends the head of the answer, once there is something to follow it.
+func (x *exchange) begin() {
+	if x.began || x.head == nil {
+		return
+	}
+	x.began = true
+	x.entry.meter.Observe(elmmeter.FirstByte, time.Since(x.start))
+	x.w.Header().Set("Content-Type", x.head.Media)
+	x.w.Header().Set("Elmcove-Request", x.request.ID())
+	x.w.WriteHeader(int(x.head.Status))
+}
+
+func (x *exchange) write(data []byte) elmrequest.Message {
+	x.begin()
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // Not all writers have deadlines.
+	_, err := x.w.Write(data)
+	if err == nil {
+		err = controller.Flush()
+	}
+	if err != nil {
+		x.left = true
+		return elmrequest.Left{}
+	}
+	return nil
+}
+
+// abort ends a partial answer: a stream with an error event, and any answer by
+// breaking the connection, so that it is not taken for whole.
+func (x *exchange) abort() {
+	x.entry.logger.Event(elmlog.RequestAborted, "request", x.request.ID())
+	x.entry.meter.Count(outcomes, "outcome", "aborted")
+	if !x.began {
+		p := refusal(x.request, elmrequest.Refuse{Outcome: elmrequest.Unknown, Cause: elmrequest.CauseUnsettled})
+		x.refuse(p)
+		return
+	}
+	if strings.HasPrefix(x.head.Media, eventStream) {
+		_, _ = x.w.Write([]byte(errorEvent)) // The caller may have gone.
+		_ = http.NewResponseController(x.w).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) refuse(p problem) {
+	x.entry.logger.Event(elmlog.RequestRefused, "request", x.request.ID(), "outcome", p.outcome, "title", p.title)
+	x.entry.refuse(x.w, p)
+}
+
+// replay sends the recorded answer of an earlier attempt.
+func (x *exchange) replay(tally *elmwire.Tally) {
+	if !tally.GetKept() {
+		x.refuse(problem{
+			status:  http.StatusConflict,
+			title:   "the request has run, and its answer is too long to be kept",
+			outcome: elmapi.ProblemOutcomeRan,
+			request: x.request.ID(),
+		})
+		return
+	}
+	x.w.Header().Set("Idempotency-Replayed", "true")
+	x.head = &elmrequest.Begin{Status: tally.GetStatus(), Media: tally.GetMedia()}
+	x.begin()
+	_, _ = x.w.Write(tally.GetBody()) // The caller may have gone.
+	x.entry.meter.Count(outcomes, "outcome", "replayed")
+}
+
+// close ends the present attempt.
+func (x *exchange) close() {
+	x.stop()
+	if x.attempt != nil {
+		x.attempt.Close()
+		x.attempt = nil
+	}
+}
--- /dev/null
+++ b/internal/entry/elmentry/follow.go
@@ -0,0 +1,129 @@
+package elmentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+const (
+	rosterInterval = 3 * time.Second
+	watchWait      = 20 * time.Second
+	pollInterval   = 30 * time.Second
+	retryInterval  = time.Second
+	// watchers is the number of entries in a data centre that watch the
+	// configuration for the others.
+	watchers = 2
+)
+
+// followRoster keeps the links as the platform's instance list says.
+func (e *Entry) followRoster(ctx context.Context) {
+	for {
+		e.refreshRoster(ctx)
+		if !rest(ctx, rosterInterval) {
+			return
+		}
+	}
+}
+
+func (e *Entry) refreshRoster(ctx context.Context) {
+	list, err := e.store.Instances(ctx)
+	if err != nil {
+		return // The last list stays in use. Links tell which agents are alive.
+	}
+	e.mutex.Lock()
+	roster, suspect := e.roster.Update(list, time.Now())
+	e.roster = roster
+	e.mutex.Unlock()
+	if suspect {
+		e.logger.Event(elmlog.RosterSuspect, "listed", len(list))
+	}
+	e.fleet.Follow(ctx, roster.Agents())
+}
+
+// followConfig keeps the configuration as the key-value service has it. Most
+// entries only poll now and then, since agents tell them of changes.
+func (e *Entry) followConfig(ctx context.Context) {
+	key := ConfigKey(e.settings.Site)
+	down := false
+	for {
+		value, err := e.readConfig(ctx, key)
+		if (err != nil) != down {
+			down = err != nil
+			e.reportStore(err)
+		}
+		pause := time.Duration(0)
+		if err != nil {
+			pause = retryInterval
+		} else {
+			e.Adopt(&elmwire.Update{Revision: uint64(value.Version), Document: value.Data})
+			if !e.watches() {
+				pause = pollInterval
+			}
+		}
+		if !rest(ctx, pause) {
+			return
+		}
+	}
+}
+
+func (e *Entry) readConfig(ctx context.Context, key string) (elmstore.Value, error) {
+	revision := e.holder.Config().Revision()
+	if revision == 0 || !e.watches() {
+		return e.store.Read(ctx, key)
+	}
+	return e.store.Watch(ctx, key, int64(revision), watchWait)
+}
+
+func (e *Entry) watches() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.roster.Watches(e.settings.Instance, e.settings.Datacentre, watchers)
+}
+
+func (e *Entry) reportStore(err error) {
+	if err != nil {
+		e.logger.Event(elmlog.StoreDown, "error", err)
+		return
+	}
+	e.logger.Event(elmlog.StoreBack)
+}
+
+// Adopt implements elmfleet.Holder.
+func (e *Entry) Adopt(update *elmwire.Update) {
+	adopted, err := e.holder.Adopt(update)
+	if err != nil {
+		e.logger.Event(elmlog.ConfigRefused, "revision", update.GetRevision(), "error", err)
+		return
+	}
+	if adopted {
+		e.logger.Event(elmlog.ConfigAdopted, "revision", update.GetRevision())
+		e.fleet.Announce()
+	}
+}
+
+// Update implements elmfleet.Holder.
+func (e *Entry) Update() *elmwire.Update {
+	return e.holder.Update()
+}
+
+// ConfigKey returns the key under which a site's configuration is kept.
+func ConfigKey(site string) string {
+	return "config:" + site
+}
+
+// rest waits for a time that is spread by a quarter, and reports whether the
+// context goes on.
+func rest(ctx context.Context, pause time.Duration) bool {
+	spread := time.Duration(float64(pause) * (0.75 + 0.5*rand.Float64()))
+	select {
+	case <-time.After(spread):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/elmentry/handlers.go
@@ -0,0 +1,210 @@
+package elmentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"github.com/elmcove/elmcove/internal/config/elmconfig"
+	"github.com/elmcove/elmcove/internal/entry/elmfleet"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/wire/elmapi"
+)
+
+const (
+	completionPath = "/v1/chat/completions"
+	bearerPrefix   = "Bearer "
+	// prefixBytes is the part of a prompt by which cached prefixes are found.
+	prefixBytes = 256
+)
+
+type contextKey struct{}
+
+// caller is what is known of the sender of a request.
+type caller struct {
+	workspace string
+	config    elmconfig.Config
+}
+
+// Status is what an entry tells operators of itself.
+type Status struct {
+	Instance   string            `json:"instance"`
+	Datacentre string            `json:"datacentre"`
+	Revision   uint64            `json:"revision"`
+	Draining   bool              `json:"draining"`
+	Agents     []elmfleet.Status `json:"agents"`
+}
+
+func (e *Entry) handler() (http.Handler, error) {
+	api, err := elmapi.NewServer(e, e, e, elmapi.WithErrorHandler(e.handleError))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST "+completionPath, e.authenticate(api))
+	mux.Handle("/services/{service}/{path...}", e.authenticate(http.HandlerFunc(e.handleService)))
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", e.handleReady)
+	mux.Handle("GET /metrics", e.meter.Handler())
+	mux.HandleFunc("GET /elmcove/status", e.handleStatus)
+	mux.HandleFunc("GET /elmcove/explain/{id}", e.handleExplain)
+	return mux, nil
+}
+
+// authenticate finds the workspace of a request, and bounds its body and the
+// number of its open requests.
+func (e *Entry) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		config := e.holder.Config()
+		credential, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		workspace, known := config.Authenticate(credential)
+		if !ok || !known {
+			e.logger.Event(elmlog.CredentialRejected, "remote", r.RemoteAddr)
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			e.refuse(w, problem{status: http.StatusUnauthorized, title: "credential missing or unknown"})
+			return
+		}
+		if !e.enter(workspace, config.Concurrency(workspace)) {
+			e.logger.Event(elmlog.ConcurrencyExceeded, "workspace", workspace)
+			e.refuse(w, problem{status: http.StatusTooManyRequests, title: "workspace has too many open requests", retry: retryAfter})
+			return
+		}
+		defer e.leave(workspace)
+		r.Body = http.MaxBytesReader(w, r.Body, config.Bytes(workspace))
+		ctx := context.WithValue(r.Context(), contextKey{}, caller{workspace: workspace, config: config})
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// HandleBearer implements elmapi.SecurityHandler. The credential has been
+// checked before.
+func (e *Entry) HandleBearer(ctx context.Context, _ elmapi.OperationName, _ elmapi.Bearer) (context.Context, error) {
+	return ctx, nil
+}
+
+// NewError implements elmapi.Handler.
+func (e *Entry) NewError(_ context.Context, err error) *elmapi.ProblemStatusCode {
+	p := problem{status: http.StatusInternalServerError, title: "request failed", detail: err.Error()}
+	return &elmapi.ProblemStatusCode{StatusCode: p.status, Response: p.response()}
+}
+
+// handleError answers requests that do not match the schema.
+func (e *Entry) handleError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	var tooLarge *http.MaxBytesError
+	p := problem{status: ogenerrors.ErrorCode(err), title: "request is not valid", detail: err.Error()}
+	if errors.As(err, &tooLarge) {
+		p = bodyTooLarge(tooLarge)
+	}
+	e.refuse(w, p)
+}
+
+// CreateCompletion implements elmapi.RawHandler.
+func (e *Entry) CreateCompletion(ctx context.Context, req *elmapi.Completion, params elmapi.CreateCompletionParams, w http.ResponseWriter) error {
+	sender, _ := ctx.Value(contextKey{}).(caller)
+	if !sender.config.Model(req.Model) {
+		e.refuse(w, problem{status: http.StatusNotFound, title: "unknown model", detail: fmt.Sprintf("model %q is not configured", req.Model)})
+		return nil
+	}
+	body, err := req.MarshalJSON()
+	if err != nil {
+		return fmt.Errorf("%w: encode completion: %w", ErrEntry, err)
+	}
+	e.serve(ctx, w, sender, call{
+		service:    req.Model,
+		method:     http.MethodPost,
+		path:       completionPath,
+		media:      "application/json",
+		body:       body,
+		prefix:     promptPrefix(req),
+		key:        params.IdempotencyKey.Or(""),
+		repeatable: params.ElmcoveRepeatable.Or(true),
+	})
+	return nil
+}
+
+// handleService passes a request on to a plain service.
+func (e *Entry) handleService(w http.ResponseWriter, r *http.Request) {
+	sender, _ := r.Context().Value(contextKey{}).(caller)
+	service := r.PathValue("service")
+	config, known := sender.config.Services[service]
+	if !known || sender.config.Model(service) {
+		e.refuse(w, problem{status: http.StatusNotFound, title: "unknown service", detail: fmt.Sprintf("service %q (%s) is not a plain service", service, config.Kind)})
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		e.handleError(r.Context(), w, r, err)
+		return
+	}
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	e.serve(r.Context(), w, sender, call{
+		service:    service,
+		method:     r.Method,
+		path:       path,
+		media:      r.Header.Get("Content-Type"),
+		body:       body,
+		key:        r.Header.Get("Idempotency-Key"),
+		repeatable: sender.config.Repeatable(service, r.Method, path) && r.Header.Get("Elmcove-Repeatable") != "false",
+	})
+}
+
+func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if e.draining.Load() || e.holder.Config().Revision() == 0 {
+		http.Error(w, "not taking new requests", http.StatusServiceUnavailable)
+	}
+}
+
+func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, Status{
+		Instance:   e.settings.Instance,
+		Datacentre: e.settings.Datacentre,
+		Revision:   e.holder.Config().Revision(),
+		Draining:   e.draining.Load(),
+		Agents:     e.fleet.Status(),
+	})
+}
+
+func (e *Entry) handleExplain(w http.ResponseWriter, r *http.Request) {
+	lines := e.ledger.Explain(r.PathValue("id"))
+	if lines == nil {
+		http.Error(w, "request is not remembered here", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, lines)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // The caller has gone.
+}
+
+func promptPrefix(req *elmapi.Completion) string {
+	var prefix strings.Builder
+	for _, m := range req.Messages {
+		prefix.WriteString(m.Content)
+		if prefix.Len() >= prefixBytes {
+			return prefix.String()[:prefixBytes]
+		}
+	}
+	return prefix.String()
+}
+
+func bodyTooLarge(e *http.MaxBytesError) problem {
+	return problem{
+		status: http.StatusRequestEntityTooLarge,
+		title:  "request body is too large",
+		detail: fmt.Sprintf("the workspace may send %d bytes", e.Limit),
+	}
+}
+
+const retryAfter = time.Second
--- /dev/null
+++ b/internal/entry/elmfleet/elmfleet.go
@@ -0,0 +1,189 @@
+// Package elmfleet keeps the links from an entry to the agents, and what the
+// agents have told of their endpoints.
+//
+// # Usage
+//
+//	fleet := elmfleet.New(hello, keys.Client(), logger)
+//	fleet.Follow(ctx, roster.Agents())
+//	candidates := fleet.Candidates("draft", tried)
+//	call, err := fleet.Call(ctx, "agent-1", open)
+package elmfleet
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/route/elmpicker"
+	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
+	"github.com/elmcove/elmcove/internal/wire/elmlink"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+// ErrGone reports that there is no link to an agent.
+var ErrGone = errors.New("no link to the agent")
+
+// Status is what an entry knows of an agent.
+type Status struct {
+	Agent       string `json:"agent"`
+	Datacentre  string `json:"datacentre"`
+	Service     string `json:"service"`
+	Linked      bool   `json:"linked"`
+	Leaving     bool   `json:"leaving"`
+	Window      int    `json:"window"`
+	Outstanding int    `json:"outstanding"`
+	Running     int    `json:"running"`
+	Limit       int    `json:"limit"`
+	Revision    uint64 `json:"revision"`
+}
+
+// Holder holds the configuration that links pass on.
+type Holder interface {
+	// Update returns the newest configuration that the process holds.
+	Update() *elmwire.Update
+	// Adopt takes in a configuration that a neighbour holds.
+	Adopt(update *elmwire.Update)
+}
+
+// Fleet is the links of one entry. It is safe for concurrent use.
+type Fleet struct {
+	hello  *elmwire.Hello
+	tls    *tls.Config
+	logger *elmlog.Logger
+	holder Holder
+
+	mutex   sync.Mutex
+	members map[string]*member
+	done    sync.WaitGroup
+}
+
+// New returns a Fleet without links.
+func New(hello *elmwire.Hello, config *tls.Config, holder Holder, logger *elmlog.Logger) *Fleet {
+	return &Fleet{hello: hello, tls: config, holder: holder, logger: logger, members: map[string]*member{}}
+}
+
+// Follow keeps a link to each of the agents, and ends the links to others once
+// they are idle. Links end with the context.
+func (f *Fleet) Follow(ctx context.Context, agents []elmkvapi.Instance) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	wanted := make(map[string]elmkvapi.Instance, len(agents))
+	for _, i := range agents {
+		wanted[i.Name] = i
+	}
+	for name, m := range f.members {
+		if i, ok := wanted[name]; !ok || i.Address != m.instance.Address {
+			m.retire()
+			delete(f.members, name)
+		}
+	}
+	for name, i := range wanted {
+		if _, ok := f.members[name]; !ok {
+			f.members[name] = f.start(ctx, i)
+		}
+	}
+}
+
+// Wait blocks until all links have ended.
+func (f *Fleet) Wait() {
+	f.done.Wait()
+}
+
+// Candidates returns the linked endpoints of a service that take new work,
+// other than those already tried.
+func (f *Fleet) Candidates(service string, tried []string) []elmpicker.Candidate {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var candidates []elmpicker.Candidate
+	for name, m := range f.members {
+		if m.instance.Service.Value != service || slices.Contains(tried, name) {
+			continue
+		}
+		if c, ok := m.candidate(); ok {
+			candidates = append(candidates, c)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b elmpicker.Candidate) int {
+		if a.Agent < b.Agent {
+			return -1
+		}
+		return 1
+	})
+	return candidates
+}
+
+// Serves reports whether any endpoint of a service is known.
+func (f *Fleet) Serves(service string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, m := range f.members {
+		if m.instance.Service.Value == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Call sends a request to an agent.
+func (f *Fleet) Call(ctx context.Context, agent string, open *elmwire.Open) (*Call, error) {
+	f.mutex.Lock()
+	m, ok := f.members[agent]
+	f.mutex.Unlock()
+	if !ok {
+		return nil, fmt.Errorf("%w: %s", ErrGone, agent)
+	}
+	return m.call(ctx, open)
+}
+
+// Announce brings all agents to the newest configuration.
+func (f *Fleet) Announce() {
+	for _, m := range f.list() {
+		m.announce()
+	}
+}
+
+// Status returns what is known of each agent, in order of name.
+func (f *Fleet) Status() []Status {
+	members := f.list()
+	all := make([]Status, 0, len(members))
+	for _, m := range members {
+		all = append(all, m.status())
+	}
+	slices.SortFunc(all, func(a, b Status) int {
+		if a.Agent < b.Agent {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func (f *Fleet) list() []*member {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	members := make([]*member, 0, len(f.members))
+	for _, m := range f.members {
+		members = append(members, m)
+	}
+	return members
+}
+
+func (f *Fleet) start(ctx context.Context, instance elmkvapi.Instance) *member {
+	m := &member{fleet: f, instance: instance, retired: make(chan struct{})}
+	f.done.Go(func() { m.run(ctx) })
+	return m
+}
+
+func (f *Fleet) dial(ctx context.Context, address string) (*elmlink.Link, error) {
+	hello := &elmwire.Hello{
+		Instance:    f.hello.GetInstance(),
+		Datacentre:  f.hello.GetDatacentre(),
+		Incarnation: f.hello.GetIncarnation(),
+		Revision:    f.holder.Update().GetRevision(),
+	}
+	return elmlink.Dial(ctx, address, f.tls, hello)
+}
--- /dev/null
+++ b/internal/entry/elmledger/elmledger.go
@@ -0,0 +1,53 @@
+// Package elmledger remembers what was decided for recent requests, so that
+// operators can ask why a request was placed, retried or refused.
+//
+// # Usage
+//
+//	ledger := elmledger.New(4096)
+//	ledger.Note("entry-1-7", "sent to agent-3")
+//	lines := ledger.Explain("entry-1-7")
+package elmledger
+
+import (
+	"sync"
+	"time"
+)
+
+// Line is one decision.
+type Line struct {
+	Time time.Time `json:"time"`
+	Text string    `json:"text"`
+}
+
+// Ledger remembers a bounded number of requests. It is safe for concurrent use.
+type Ledger struct {
+	mutex sync.Mutex
+	size  int
+	order []string
+	next  int
+	lines map[string][]Line
+}
+
+// New returns a Ledger for the last size requests.
+func New(size int) *Ledger {
+	return &Ledger{size: size, order: make([]string, size), lines: make(map[string][]Line, size)}
+}
+
+// Note adds a decision to a request.
+func (l *Ledger) Note(request, text string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, ok := l.lines[request]; !ok {
+		delete(l.lines, l.order[l.next])
+		l.order[l.next] = request
+		l.next = (l.next + 1) % l.size
+	}
+	l.lines[request] = append(l.lines[request], Line{Time: time.Now().UTC(), Text: text})
+}
+
+// Explain returns the decisions of a request, or nil if it is not remembered.
+func (l *Ledger) Explain(request string) []Line {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Line(nil), l.lines[request]...)
+}
--- /dev/null
+++ b/internal/entry/elmrequest/elmrequest.go
@@ -0,0 +1,319 @@
+// Package elmrequest decides how an entry process handles one request of a
+// caller: when to read its claim, where to send it, when to retry, and what
+// may be said of a request that has no whole answer.
+//
+// The decisions are pure. Update takes a message and returns the next Request
+// and the commands that a runtime has to carry out. The transitions are kept
+// in request.json.
+//
+// # Usage
+//
+//	request := elmrequest.New("r1", elmrequest.Repeatable)
+//	request, commands := request.Update(elmrequest.Start{})
+//	// commands is []Command{Place{}}
+package elmrequest
+
+import (
+	_ "embed" // The state chart is embedded.
+	"fmt"
+	"slices"
+
+	"github.com/elmcove/elmcove/internal/state/elmchart"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+// maxAttempts is the number of agents that a request is sent to at most.
+const maxAttempts = 4
+
+const stateDone = "done"
+
+//go:embed request.json
+var document []byte
+
+var chart = elmchart.MustParse(document)
+
+// Kind tells how often a request may run.
+type Kind int
+
+const (
+	// Repeatable marks a request that may run more than once.
+	Repeatable Kind = iota
+	// Once marks a request that may not be repeated and has no key, so that
+	// it is sent to a second agent only after proof that it never ran.
+	Once
+	// Keyed marks a request that may not be repeated and has an idempotency
+	// key, by which callers may ask again through any entry.
+	Keyed
+)
+
+// Outcome tells what is known about a refused request.
+type Outcome string
+
+const (
+	// NotRun means that the request has not run and never will.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Cause tells why a request is refused.
+type Cause int
+
+const (
+	// CauseCapacity means that no endpoint could take the request.
+	CauseCapacity Cause = iota
+	// CauseUnsettled means that it can't be told whether the request ran.
+	CauseUnsettled
+	// CauseReused means that the key was used with another body.
+	CauseReused
+)
+
+// Request is the state of one request in an entry process. It is immutable.
+type Request struct {
+	id       string
+	kind     Kind
+	key      string
+	digest   []byte
+	state    string
+	version  int64
+	attempts int
+	tried    []string
+	tally    *elmwire.Tally
+}
+
+// New returns a request that has not started.
+func New(id string, kind Kind) Request {
+	return Request{id: id, kind: kind, state: chart.Initial()}
+}
+
+// WithKey returns a copy with an idempotency key and the digest of the body.
+func (r Request) WithKey(key string, digest []byte) Request {
+	r.key = key
+	r.digest = digest
+	return r
+}
+
+// ID returns the identifier of the request.
+func (r Request) ID() string { return r.id }
+
+// State returns the name of the present state.
+func (r Request) State() string { return r.state }
+
+// Done reports whether the request has ended.
+func (r Request) Done() bool { return r.state == stateDone }
+
+// Kind returns how often the request may run.
+func (r Request) Kind() Kind { return r.kind }
+
+// Attempts returns the number of agents that the request was sent to.
+func (r Request) Attempts() int { return r.attempts }
+
+// Update applies a message. A message that the present state does not accept
+// changes nothing.
+func (r Request) Update(m Message) (Request, []Command) {
+	step, ok := chart.Step(r.state, r.event(m))
+	if !ok {
+		return r, nil
+	}
+	next := r.learn(m)
+	next.state = step.Next
+	return next.perform(step.Action, m)
+}
+
+// event names the message as the state chart does.
+func (r Request) event(m Message) string {
+	switch m := m.(type) {
+	case Start:
+		return r.suffixKeyed("start")
+	case Tallied:
+		return r.claimEvent(m.Tally)
+	case StoreFailed:
+		return "store-failed"
+	case Voided:
+		return r.suffixLast("void-won")
+	case Placed:
+		return "placed"
+	case Unplaced:
+		return r.suffixKeyed("unplaced")
+	case Headed:
+		return "headed"
+	case Data:
+		return "data"
+	case Ended:
+		return "ended"
+	case Refused:
+		return r.refusedEvent(m)
+	case Broken:
+		return r.brokenEvent(m)
+	case Left:
+		return r.leftEvent()
+	case Expired:
+		return r.suffixKeyed("expired")
+	case Thawed:
+		return r.thawedEvent()
+	}
+	return ""
+}
+
+func (r Request) suffixKeyed(event string) string {
+	if r.kind == Keyed {
+		return event + "-keyed"
+	}
+	return event
+}
+
+func (r Request) suffixLast(event string) string {
+	if r.attempts >= maxAttempts {
+		return event + "-last"
+	}
+	return event
+}
+
+func (r Request) claimEvent(t *elmwire.Tally) string {
+	phase := t.GetPhase()
+	switch {
+	case phase == elmwire.Phase_PHASE_UNSPECIFIED, phase == elmwire.Phase_PHASE_VOID:
+		return "claim-free"
+	case !slices.Equal(t.GetDigest(), r.digest):
+		return "claim-other-body"
+	case phase == elmwire.Phase_PHASE_DONE:
+		return "claim-done"
+	}
+	return "claim-started"
+}
+
+func (r Request) refusedEvent(m Refused) string {
+	if m.Refusal.GetReason() == elmwire.Reason_REASON_CLAIMED {
+		return "refused-claimed"
+	}
+	if m.Refusal.GetUnrun() {
+		if r.attempts >= maxAttempts {
+			return r.suffixKeyed("refused-unrun-last")
+		}
+		return "refused-unrun"
+	}
+	if r.retriable() && !m.Spent {
+		return "refused-run-repeatable"
+	}
+	return "refused-run"
+}
+
+func (r Request) brokenEvent(m Broken) string {
+	if r.kind == Keyed {
+		return "broken-keyed"
+	}
+	if r.retriable() && !m.Spent {
+		return "broken-repeatable"
+	}
+	return "broken"
+}
+
+func (r Request) leftEvent() string {
+	if r.kind != Repeatable && (r.state == "sent" || r.state == "answering") {
+		return "left-once"
+	}
+	return "left"
+}
+
+func (r Request) thawedEvent() string {
+	if r.kind == Keyed {
+		return "thawed"
+	}
+	return ""
+}
+
+// retriable reports whether the request may run again elsewhere after an
+// attempt that may have run.
+func (r Request) retriable() bool {
+	return r.kind == Repeatable && r.attempts < maxAttempts
+}
+
+// learn takes over what a message tells about the claim and the placement.
+func (r Request) learn(m Message) Request {
+	switch m := m.(type) {
+	case Tallied:
+		r.version = m.Version
+		r.tally = m.Tally
+	case Voided:
+		r.version = m.Version
+	case Placed:
+		r.attempts++
+		r.tried = append(slices.Clone(r.tried), m.Agent)
+	}
+	return r
+}
+
+// perform turns an action of the state chart into commands.
+func (r Request) perform(action string, m Message) (Request, []Command) {
+	switch action {
+	case "read":
+		return r, []Command{Read{Key: r.key}}
+	case "void":
+		return r, []Command{Cancel{}, r.void()}
+	case "place":
+		return r, []Command{Place{Tried: r.tried}}
+	case "send":
+		return r, []Command{r.send()}
+	case "cancel":
+		return r, []Command{Cancel{}}
+	case "begin":
+		head, _ := m.(Headed)
+		return r, []Command{Begin(head)}
+	case "write":
+		data, _ := m.(Data)
+		return r, []Command{Write(data)}
+	case "finish":
+		return r, []Command{Finish{}}
+	case "abort":
+		return r, []Command{Abort{}}
+	case "cancel-abort":
+		return r, []Command{Cancel{}, Abort{}}
+	case "replay":
+		return r, []Command{Replay{Tally: r.tally}}
+	}
+	return r, r.refusal(action)
+}
+
+func (r Request) refusal(action string) []Command {
+	switch action {
+	case "refuse-unrun":
+		return []Command{Refuse{Outcome: NotRun, Cause: CauseCapacity}}
+	case "refuse-unknown":
+		return []Command{Refuse{Outcome: Unknown, Cause: CauseUnsettled}}
+	case "cancel-refuse-unknown":
+		return []Command{Cancel{}, Refuse{Outcome: Unknown, Cause: CauseUnsettled}}
+	case "refuse-reused":
+		return []Command{Refuse{Outcome: NotRun, Cause: CauseReused}}
+	}
+	return nil
+}
+
+func (r Request) void() Void {
+	return Void{
+		Key:     r.key,
+		Version: r.version,
+		Tally: &elmwire.Tally{
+			Phase:   elmwire.Phase_PHASE_VOID,
+			Attempt: r.attempt(),
+			Digest:  r.digest,
+		},
+	}
+}
+
+func (r Request) send() Send {
+	send := Send{Agent: r.tried[len(r.tried)-1], Attempt: r.attempt()}
+	if r.kind == Keyed {
+		send.Claim = &elmwire.Claim{
+			Key:     r.key,
+			Attempt: send.Attempt,
+			Version: r.version,
+			Digest:  r.digest,
+		}
+	}
+	return send
+}
+
+// attempt identifies one sending of the request.
+func (r Request) attempt() string {
+	return fmt.Sprintf("%s/%d", r.id, r.attempts)
+}
--- /dev/null
+++ b/internal/limit/elmcredit/elmcredit.go
@@ -0,0 +1,121 @@
+// Package elmcredit shares the capacity of one endpoint among entry instances.
+//
+// An agent gives each entry a window: the number of requests that the entry may
+// have open at the agent. Windows are shared out by max-min fairness, their sum
+// never exceeds the limit of the endpoint, and they expire on the agent's own
+// clock. A request is admitted only while fewer requests run than the present
+// limit allows, so that a limit that falls is in force at once, whatever windows
+// entries still believe they hold.
+//
+// # Usage
+//
+//	pool := elmcredit.New(8)
+//	pool = pool.WithWant("entry-1", 4, now)
+//	window := pool.Window("entry-1", now)
+//	pool, err := pool.Admit()
+//	pool = pool.Release()
+package elmcredit
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Lifetime is the time after which a window expires unless it is renewed.
+const Lifetime = 2 * time.Second
+
+// ErrFull reports that the endpoint can't bear another request.
+var ErrFull = errors.New("endpoint is at its limit")
+
+type want struct {
+	window  int
+	expires time.Time
+}
+
+// Pool is the capacity of one endpoint. It is immutable.
+type Pool struct {
+	limit   int
+	running int
+	wants   map[string]want
+}
+
+// New returns a pool for an endpoint that can bear limit requests at once.
+func New(limit int) Pool {
+	return Pool{limit: limit}
+}
+
+// WithLimit returns a copy with another limit.
+func (p Pool) WithLimit(limit int) Pool {
+	p.limit = limit
+	return p
+}
+
+// WithWant returns a copy that knows how many requests an entry would like to
+// have open.
+func (p Pool) WithWant(entry string, window int, now time.Time) Pool {
+	p.wants = maps.Clone(p.wants)
+	if p.wants == nil {
+		p.wants = map[string]want{}
+	}
+	p.wants[entry] = want{window: window, expires: now.Add(Lifetime)}
+	return p
+}
+
+// WithoutEntry returns a copy without an entry that has gone.
+func (p Pool) WithoutEntry(entry string) Pool {
+	p.wants = maps.Clone(p.wants)
+	delete(p.wants, entry)
+	return p
+}
+
+// Limit returns the number of requests that the endpoint can bear.
+func (p Pool) Limit() int { return p.limit }
+
+// Running returns the number of requests admitted and not released.
+func (p Pool) Running() int { return p.running }
+
+// Window returns the number of requests that an entry may have open.
+func (p Pool) Window(entry string, now time.Time) int {
+	live := p.live(now)
+	left := p.limit
+	for i, name := range live {
+		share := min(p.wants[name].window, left/(len(live)-i))
+		if name == entry {
+			return share
+		}
+		left -= share
+	}
+	return 0
+}
+
+// Admit takes a place for a request.
+func (p Pool) Admit() (Pool, error) {
+	if p.running >= p.limit {
+		return p, ErrFull
+	}
+	p.running++
+	return p, nil
+}
+
+// Release returns the place of a request that has ended.
+func (p Pool) Release() Pool {
+	p.running--
+	return p
+}
+
+// live returns the entries whose wants have not expired, the least first.
+func (p Pool) live(now time.Time) []string {
+	names := make([]string, 0, len(p.wants))
+	for name, w := range p.wants {
+		if now.Before(w.expires) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.wants[a].window, p.wants[b].window), cmp.Compare(a, b))
+	})
+	return names
+}
--- /dev/null
+++ b/internal/observe/elmlog/elmlog.go
@@ -0,0 +1,43 @@
+// Package elmlog writes numbered log events. The catalogue of events is in
+// docs/EVENTS.md.
+//
+// # Usage
+//
+//	logger := elmlog.New("entry-1", "info", os.Stderr)
+//	logger.Event(elmlog.Started, "http", address)
+package elmlog
+
+import (
+	"io"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Logger writes events. It is safe for concurrent use.
+type Logger struct {
+	logger hclog.Logger
+}
+
+// New returns a Logger for a named process that writes events from a level
+// upwards: debug, info, warn, or error.
+func New(name, level string, w io.Writer) *Logger {
+	return &Logger{logger: hclog.New(&hclog.LoggerOptions{
+		Name:   name,
+		Level:  hclog.LevelFromString(level),
+		Output: w,
+	})}
+}
+
+// Discard returns a Logger that writes nothing.
+func Discard() *Logger {
+	return &Logger{logger: hclog.NewNullLogger()}
+}
+
+// Event writes an event with pairs of keys and values.
+func (l *Logger) Event(e Event, pairs ...any) {
+	entry, ok := catalogue[e]
+	if !ok {
+		entry = Entry{Level: hclog.Error, Text: "unknown event"}
+	}
+	l.logger.Log(entry.Level, entry.Text, append([]any{"event", int(e)}, pairs...)...)
+}
--- /dev/null
+++ b/internal/observe/elmlog/events.go
@@ -0,0 +1,83 @@
+package elmlog
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Event is the number of a kind of event. Numbers are never used again.
+type Event int
+
+// Events of all processes.
+const (
+	Started             Event = 1001
+	Stopping            Event = 1002
+	Stopped             Event = 1003
+	Failed              Event = 1004
+	ConfigAdopted       Event = 1101
+	ConfigRefused       Event = 1102
+	StoreDown           Event = 1201
+	StoreBack           Event = 1202
+	RosterSuspect       Event = 1203
+	LinkUp              Event = 1301
+	LinkDown            Event = 1302
+	LinkRefused         Event = 1303
+	RequestRefused      Event = 1401
+	RequestRetried      Event = 1402
+	RequestAborted      Event = 1403
+	RequestAbandoned    Event = 1404
+	EndpointCold        Event = 1501
+	EndpointFailed      Event = 1502
+	RecordFailed        Event = 1503
+	ProcessThawed       Event = 1601
+	TracesLost          Event = 1701
+	CredentialRejected  Event = 1801
+	ConcurrencyExceeded Event = 1802
+)
+
+// Entry describes an event in the catalogue.
+type Entry struct {
+	Level  hclog.Level
+	Text   string
+	Advice string
+}
+
+const adviceNone = "None."
+
+var catalogue = map[Event]Entry{
+	Started:             {hclog.Info, "process started", adviceNone},
+	Stopping:            {hclog.Info, "process is draining", adviceNone + " New work goes to other instances."},
+	Stopped:             {hclog.Info, "process stopped", adviceNone},
+	Failed:              {hclog.Error, "process failed", "Read the error. The platform should replace the instance."},
+	ConfigAdopted:       {hclog.Info, "configuration revision in force", adviceNone},
+	ConfigRefused:       {hclog.Error, "configuration revision can't be used", "The process keeps its last good revision. Apply a valid one."},
+	StoreDown:           {hclog.Warn, "key-value service unavailable", "Repeatable requests are still served. Keyed requests are refused until it is back."},
+	StoreBack:           {hclog.Info, "key-value service is back", adviceNone},
+	RosterSuspect:       {hclog.Warn, "instance list shrank suddenly and is not believed", "Check the platform's instance list. Links decide until it recovers."},
+	LinkUp:              {hclog.Info, "link up", adviceNone},
+	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
+	LinkRefused:         {hclog.Warn, "link refused", "Check the peer's certificate and protocol version."},
+	RequestRefused:      {hclog.Info, "request refused", "Use elmcove explain with the request's identifier."},
+	RequestRetried:      {hclog.Debug, "request sent elsewhere", adviceNone},
+	RequestAborted:      {hclog.Warn, "answer broken off with an explicit error", "Check the endpoint that was serving it."},
+	RequestAbandoned:    {hclog.Debug, "caller left", adviceNone},
+	EndpointCold:        {hclog.Warn, "endpoint turned cold", adviceNone + " Its load is reduced until it is warm."},
+	EndpointFailed:      {hclog.Warn, "endpoint failed a request", "If it repeats, drain the endpoint."},
+	RecordFailed:        {hclog.Warn, "finished request could not be recorded", "Its key answers unknown until the claim expires."},
+	ProcessThawed:       {hclog.Warn, "process was suspended", "Waiting keyed requests are refused as unknown. Look for a paused or starved instance."},
+	TracesLost:          {hclog.Warn, "traces could not be exported", "Check the traces setting and the collector."},
+	CredentialRejected:  {hclog.Info, "credential rejected", "Check the workspace's credential."},
+	ConcurrencyExceeded: {hclog.Info, "workspace at its concurrency limit", "Raise the workspace's concurrency if this is expected."},
+}
+
+// Catalogue returns all events in order.
+func Catalogue() []Event {
+	return slices.Sorted(maps.Keys(catalogue))
+}
+
+// Describe returns the catalogue's entry for an event.
+func (e Event) Describe() Entry {
+	return catalogue[e]
+}
--- /dev/null
+++ b/internal/observe/elmmeter/elmmeter.go
@@ -0,0 +1,57 @@
+// Package elmmeter counts what a process does and shows the figures in the
+// Prometheus text format.
+//
+// # Usage
+//
+//	meter := elmmeter.New()
+//	meter.Count(elmmeter.Requests, "outcome", "whole")
+//	mux.Handle("/metrics", meter.Handler())
+package elmmeter
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Name is the name of a metric.
+type Name string
+
+const (
+	// Requests counts the requests of callers, by outcome.
+	Requests Name = "elmcove_requests_total"
+	// Retries counts requests that were sent to another endpoint.
+	Retries Name = "elmcove_retries_total"
+	// FirstByte measures the time to the first byte of an answer, in seconds.
+	FirstByte Name = "elmcove_first_byte_seconds"
+)
+
+// Meter is a set of metrics. It is safe for concurrent use.
+type Meter struct {
+	set *metrics.Set
+}
+
+// New returns an empty Meter.
+func New() *Meter {
+	return &Meter{set: metrics.NewSet()}
+}
+
+// Count adds one to a counter with a label.
+func (m *Meter) Count(name Name, label, value string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", name, label, value)).Inc()
+}
+
+// Observe adds a time to a histogram.
+func (m *Meter) Observe(name Name, elapsed time.Duration) {
+	m.set.GetOrCreateHistogram(string(name)).Update(elapsed.Seconds())
+}
+
+// Handler shows the metrics.
+func (m *Meter) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		m.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
--- /dev/null
+++ b/internal/platform/elmstore/elmstore.go
@@ -0,0 +1,170 @@
+// Package elmstore is the client of the platform's key-value service and
+// instance list.
+//
+// A write whose reply was lost is resolved by reading the value back: it took
+// effect if the present value is the written one at the next version. While
+// that can't be told, the error is ErrUnavailable.
+//
+// # Usage
+//
+//	store, err := elmstore.New("http://127.0.0.1:9000")
+//	value, err := store.Read(ctx, "config:granite")
+//	result, err := store.Swap(ctx, "config:granite", value.Version, data)
+package elmstore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
+)
+
+// callTimeout bounds one call, other than a waiting watch.
+const callTimeout = 500 * time.Millisecond
+
+// ErrUnavailable reports that the service gave no usable answer. A write may
+// or may not have taken effect.
+var ErrUnavailable = errors.New("key-value service is unavailable")
+
+// Value is a value and its version. Version 0 means that the key is absent.
+type Value struct {
+	Version int64
+	Data    []byte
+}
+
+// Result tells whether a write took effect, and the value that is present.
+type Result struct {
+	Won   bool
+	Value Value
+}
+
+// Store is a client of the platform. It is safe for concurrent use.
+type Store struct {
+	client *elmkvapi.Client
+
+	mutex  sync.Mutex
+	leases map[int64]string
+}
+
+// New returns a client for the platform at an HTTP address.
+func New(address string) (*Store, error) {
+	client, err := elmkvapi.NewClient(address, elmkvapi.WithClient(&http.Client{Transport: &http.Transport{}}))
+	if err != nil {
+		return nil, fmt.Errorf("platform address %q: %w", address, err)
+	}
+	return &Store{client: client, leases: map[int64]string{}}, nil
+}
+
+// Read returns the value of a key.
+func (s *Store) Read(ctx context.Context, key string) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.read(ctx, elmkvapi.ReadValueParams{Key: key})
+}
+
+// Watch waits until the version of a key exceeds after, or the wait is over,
+// and returns the present value.
+func (s *Store) Watch(ctx context.Context, key string, after int64, wait time.Duration) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return s.read(ctx, elmkvapi.ReadValueParams{
+		Key:   key,
+		After: elmkvapi.NewOptInt64(after),
+		Wait:  elmkvapi.NewOptInt64(wait.Milliseconds()),
+	})
+}
+
+// Swap writes a value if the present version is expect.
+func (s *Store) Swap(ctx context.Context, key string, expect int64, data []byte) (Result, error) {
+	return s.swap(ctx, key, expect, data, elmkvapi.OptString{})
+}
+
+// SwapFor is like Swap and lets the value expire some time after an hour that
+// is counted from the Unix epoch. All values of one hour share a lease.
+func (s *Store) SwapFor(ctx context.Context, key string, expect int64, data []byte, hour int64, life time.Duration) (Result, error) {
+	lease, err := s.lease(ctx, hour, life)
+	if err != nil {
+		return Result{}, err
+	}
+	return s.swap(ctx, key, expect, data, elmkvapi.NewOptString(lease))
+}
+
+// Instances returns the instances known to the platform. The list lags.
+func (s *Store) Instances(ctx context.Context) ([]elmkvapi.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	roster, err := s.client.ListInstances(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: list instances: %w", ErrUnavailable, err)
+	}
+	return roster.Instances, nil
+}
+
+func (s *Store) read(ctx context.Context, params elmkvapi.ReadValueParams) (Value, error) {
+	value, err := s.client.ReadValue(ctx, params)
+	if err != nil {
+		return Value{}, fmt.Errorf("%w: read %q: %w", ErrUnavailable, params.Key, err)
+	}
+	return Value{Version: value.Version, Data: value.Data}, nil
+}
+
+func (s *Store) swap(ctx context.Context, key string, expect int64, data []byte, lease elmkvapi.OptString) (Result, error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	params := elmkvapi.SwapValueParams{Key: key, Expect: expect, Lease: lease}
+	response, err := s.client.SwapValue(callCtx, &elmkvapi.Value{Data: data}, params)
+	if err != nil {
+		return s.resolve(ctx, key, expect, data, err)
+	}
+	switch r := response.(type) {
+	case *elmkvapi.SwapValueOK:
+		return Result{Won: true, Value: Value{Version: r.Version, Data: r.Data}}, nil
+	case *elmkvapi.SwapValueConflict:
+		return judge(Value{Version: r.Version, Data: r.Data}, expect, data), nil
+	}
+	return Result{}, fmt.Errorf("%w: swap %q: unexpected response", ErrUnavailable, key)
+}
+
+// resolve finds out whether a write without a reply took effect. An unchanged
+// version proves nothing, because the write may still be on its way.
+func (s *Store) resolve(ctx context.Context, key string, expect int64, data []byte, cause error) (Result, error) {
+	present, err := s.Read(ctx, key)
+	if err != nil {
+		return Result{}, fmt.Errorf("swap %q: %w (reading back: %w)", key, cause, err)
+	}
+	if present.Version == expect {
+		return Result{}, fmt.Errorf("%w: swap %q: %w", ErrUnavailable, key, cause)
+	}
+	return judge(present, expect, data), nil
+}
+
+// judge tells whether a present value was written by the caller.
+func judge(present Value, expect int64, data []byte) Result {
+	won := present.Version == expect+1 && bytes.Equal(present.Data, data)
+	return Result{Won: won, Value: present}
+}
+
+func (s *Store) lease(ctx context.Context, hour int64, life time.Duration) (string, error) {
+	s.mutex.Lock()
+	id, ok := s.leases[hour]
+	s.mutex.Unlock()
+	if ok {
+		return id, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := s.client.GrantLease(ctx, elmkvapi.GrantLeaseParams{TTL: life.Milliseconds()})
+	if err != nil {
+		return "", fmt.Errorf("%w: grant lease: %w", ErrUnavailable, err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leases[hour] = lease.ID
+	delete(s.leases, hour-2)
+	return lease.ID, nil
+}
--- /dev/null
+++ b/internal/wire/elmframe/elmframe.go
@@ -0,0 +1,113 @@
+// Package elmframe checks that the frames of an answer belong together and
+// that the answer is whole.
+//
+// Each frame bears the identifier of its request and a sequence number that
+// starts at 0. The last frame bears the number of data bytes and their XXH64
+// checksum. Frames that are late, crossed, repeated, or missing are errors.
+//
+// # Usage
+//
+//	assembler := elmframe.New("r1")
+//	err := assembler.Accept(frame)
+package elmframe
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+var (
+	// ErrCrossed reports a frame of another request.
+	ErrCrossed = errors.New("frame belongs to another request")
+	// ErrSequence reports a frame that is missing, repeated, or out of order.
+	ErrSequence = errors.New("frame out of sequence")
+	// ErrDamaged reports an answer whose length or checksum is wrong.
+	ErrDamaged = errors.New("answer is damaged")
+)
+
+// Assembler checks the frames of one answer in order. It also numbers the
+// frames of an answer that is being sent.
+type Assembler struct {
+	request string
+	next    uint64
+	total   uint64
+	ended   bool
+	digest  *xxhash.Digest
+}
+
+// New returns an Assembler for the answer to a request.
+func New(request string) *Assembler {
+	return &Assembler{request: request, digest: xxhash.New()}
+}
+
+// Accept checks the next frame that was received.
+func (a *Assembler) Accept(f *elmwire.Frame) error {
+	if f.GetRequest() != a.request {
+		return fmt.Errorf("%w: got %q, want %q", ErrCrossed, f.GetRequest(), a.request)
+	}
+	if a.ended || f.GetSequence() != a.next {
+		return fmt.Errorf("%w: got %d, want %d", ErrSequence, f.GetSequence(), a.next)
+	}
+	a.next++
+	switch kind := f.GetKind().(type) {
+	case *elmwire.Frame_Data:
+		a.add(kind.Data)
+	case *elmwire.Frame_End:
+		a.ended = true
+		return a.checkEnd(kind.End)
+	case *elmwire.Frame_Refusal:
+		a.ended = true
+	}
+	return nil
+}
+
+// Head returns the frame that precedes the data.
+func (a *Assembler) Head(head *elmwire.Head) *elmwire.Frame {
+	f := a.frame()
+	f.Kind = &elmwire.Frame_Head{Head: head}
+	return f
+}
+
+// Data returns a frame with the next part of the answer.
+func (a *Assembler) Data(data []byte) *elmwire.Frame {
+	a.add(data)
+	f := a.frame()
+	f.Kind = &elmwire.Frame_Data{Data: data}
+	return f
+}
+
+// End returns the frame that closes a whole answer.
+func (a *Assembler) End() *elmwire.Frame {
+	f := a.frame()
+	f.Kind = &elmwire.Frame_End{End: &elmwire.End{Total: a.total, Checksum: a.digest.Sum64()}}
+	return f
+}
+
+// Refusal returns the frame that ends a request without a whole answer.
+func (a *Assembler) Refusal(refusal *elmwire.Refusal) *elmwire.Frame {
+	f := a.frame()
+	f.Kind = &elmwire.Frame_Refusal{Refusal: refusal}
+	return f
+}
+
+func (a *Assembler) frame() *elmwire.Frame {
+	f := &elmwire.Frame{Request: a.request, Sequence: a.next}
+	a.next++
+	return f
+}
+
+func (a *Assembler) add(data []byte) {
+	a.total += uint64(len(data))
+	_, _ = a.digest.Write(data) // Digest.Write never fails.
+}
+
+func (a *Assembler) checkEnd(end *elmwire.End) error {
+	if end.GetTotal() != a.total || end.GetChecksum() != a.digest.Sum64() {
+		return fmt.Errorf("%w: %d bytes, want %d", ErrDamaged, a.total, end.GetTotal())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/elmlink/elmlink.go
@@ -0,0 +1,178 @@
+// Package elmlink carries messages between an entry and an agent over QUIC.
+//
+// A link has one control stream, which opens with a Hello in both directions,
+// and one stream for each request. Messages are length-delimited protobuf.
+//
+// # Usage
+//
+//	link, err := elmlink.Dial(ctx, "127.0.0.1:7001", keys.Client(), hello)
+//	stream, err := link.Open(ctx)
+//	err = elmlink.Write(stream, open)
+package elmlink
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+const (
+	// Version is the version of the messages on a link.
+	Version = 1
+
+	// CodeCancelled is the stream error by which an entry cancels a request.
+	CodeCancelled quic.StreamErrorCode = 1
+
+	idleTimeout    = 3 * time.Second
+	helloTimeout   = 2 * time.Second
+	maxMessageSize = 16 << 20
+	maxStreams     = 4096
+	streamWindow   = 64 << 10
+	linkWindow     = 256 << 10
+)
+
+var (
+	// ErrLink reports a link that has failed.
+	ErrLink = errors.New("link failed")
+	// ErrVersion reports a peer that speaks another version.
+	ErrVersion = errors.New("peer speaks another protocol version")
+)
+
+// Link is a connection between an entry and an agent.
+type Link struct {
+	conn    *quic.Conn
+	control *quic.Stream
+	reader  *bufio.Reader
+	peer    *elmwire.Hello
+	mutex   sync.Mutex
+}
+
+// Dial connects an entry to the agent at an address.
+func Dial(ctx context.Context, address string, config *tls.Config, hello *elmwire.Hello) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn, err := quic.DialAddr(ctx, address, config, Settings())
+	if err != nil {
+		return nil, fmt.Errorf("%w: dial %s: %w", ErrLink, address, err)
+	}
+	control, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: control stream: %w", ErrLink, err)
+	}
+	return greet(conn, control, hello)
+}
+
+// Accept takes over a connection that an entry has dialled.
+func Accept(ctx context.Context, conn *quic.Conn, hello *elmwire.Hello) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	control, err := conn.AcceptStream(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: control stream: %w", ErrLink, err)
+	}
+	return greet(conn, control, hello)
+}
+
+// Settings returns the QUIC settings of all links.
+func Settings() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:                 idleTimeout,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     streamWindow,
+		InitialConnectionReceiveWindow: linkWindow,
+	}
+}
+
+// Peer returns the Hello of the other side.
+func (l *Link) Peer() *elmwire.Hello { return l.peer }
+
+// Done is closed when the link has ended.
+func (l *Link) Done() <-chan struct{} { return l.conn.Context().Done() }
+
+// Send writes a message to the control stream.
+func (l *Link) Send(message *elmwire.Control) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return Write(l.control, message)
+}
+
+// Receive reads the next message from the control stream.
+func (l *Link) Receive() (*elmwire.Control, error) {
+	message := &elmwire.Control{}
+	if err := Read(l.reader, message); err != nil {
+		return nil, err
+	}
+	return message, nil
+}
+
+// Open starts a stream for a request.
+func (l *Link) Open(ctx context.Context) (*quic.Stream, error) {
+	stream, err := l.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: open stream: %w", ErrLink, err)
+	}
+	return stream, nil
+}
+
+// AcceptStream waits for the stream of the next request.
+func (l *Link) AcceptStream(ctx context.Context) (*quic.Stream, error) {
+	stream, err := l.conn.AcceptStream(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: accept stream: %w", ErrLink, err)
+	}
+	return stream, nil
+}
+
+// Close ends the link and all its streams.
+func (l *Link) Close() {
+	_ = l.conn.CloseWithError(0, "closed") // The peer may have gone.
+}
+
+// Write writes one message.
+func Write(w io.Writer, message proto.Message) error {
+	if _, err := protodelim.MarshalTo(w, message); err != nil {
+		return fmt.Errorf("%w: write: %w", ErrLink, err)
+	}
+	return nil
+}
+
+// Read reads one message.
+func Read(r *bufio.Reader, message proto.Message) error {
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessageSize}
+	if err := options.UnmarshalFrom(r, message); err != nil {
+		return fmt.Errorf("%w: read: %w", ErrLink, err)
+	}
+	return nil
+}
+
+func greet(conn *quic.Conn, control *quic.Stream, hello *elmwire.Hello) (*Link, error) {
+	hello.Version = Version
+	l := &Link{conn: conn, control: control, reader: bufio.NewReader(control), peer: &elmwire.Hello{}}
+	if err := Write(control, hello); err != nil {
+		l.Close()
+		return nil, err
+	}
+	_ = control.SetReadDeadline(time.Now().Add(helloTimeout)) // Fails only on a closed stream.
+	if err := Read(l.reader, l.peer); err != nil {
+		l.Close()
+		return nil, err
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	if l.peer.GetVersion() != Version {
+		l.Close()
+		return nil, fmt.Errorf("%w: %d, want %d", ErrVersion, l.peer.GetVersion(), Version)
+	}
+	return l, nil
+}
