Bind each answer to its attempt, and fence before every not-run

The frames and messages bore the request, not the attempt. 2. A request whose fence had lost to another request's fence was called not run on the strength of that one, whose own retry then ran. 3. An agent that was told to cancel while its claim was on its way to the store dropped the claim as started, so that the key stayed unknown.

Ruled out: the store's lost replies (reading back by content held in all schedules).

Conclusion: at most once and not-run hold in the decisions; the same on real processes is still to be shown.

--- a/internal/agent/elmagent/jobs.go
+++ b/internal/agent/elmagent/jobs.go
@@ -40,7 +40,7 @@
 	}
 	ctx, span := a.tracer.Start(ctx, "agent", open.GetTrace())
 	defer span.End()
-	j := &job{agent: a, open: open, stream: stream, frames: elmframe.New(open.GetRequest()), base: ctx}
+	j := &job{agent: a, open: open, stream: stream, frames: elmframe.New(open.GetAttempt()), base: ctx}
 	j.serve()
 }
 
@@ -51,7 +51,7 @@
 		state = state.WithOnce()
 	}
 	var message elmjob.Message = elmjob.Admitted{}
-	reason := j.agent.admit(j.open, time.Now())
+	reason := j.admit()
 	if reason != elmwire.Reason_REASON_UNSPECIFIED {
 		message = elmjob.Denied{Reason: reason}
 	} else {
@@ -67,6 +67,14 @@
 	}
 }
 
+// admit takes a place for the request, unless its entry has already left.
+func (j *job) admit() elmwire.Reason {
+	if j.stream.Context().Err() != nil {
+		return elmwire.Reason_REASON_STALE
+	}
+	return j.agent.admit(j.open, time.Now())
+}
+
 // perform carries out a command and returns the message that it leads to.
 func (j *job) perform(command elmjob.Command) elmjob.Message {
 	switch c := command.(type) {
@@ -82,19 +90,15 @@
 	return nil
 }
 
-// swap writes a claim record. The entry may leave before the claim is won.
+// swap writes a claim record.
 func (j *job) swap(c elmjob.Swap) elmjob.Message {
-	starting := c.Tally.GetPhase() == elmwire.Phase_PHASE_STARTED
-	if starting && j.stream.Context().Err() != nil {
-		return elmjob.Cancelled{}
-	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.Tally)
 	if err != nil {
 		return elmjob.StoreFailed{}
 	}
 	result, err := j.agent.store.SwapFor(j.base, c.Key, c.Version, data, elmclaim.Hour(time.Now()), elmclaim.Life)
 	if err != nil {
-		if !starting {
+		if c.Tally.GetPhase() == elmwire.Phase_PHASE_DONE {
 			j.agent.logger.Event(elmlog.RecordFailed, "request", j.open.GetRequest(), "error", err)
 		}
 		return elmjob.StoreFailed{}
--- a/internal/entry/elmentry/exchange.go
+++ b/internal/entry/elmentry/exchange.go
@@ -248,23 +248,23 @@
 		Claim:      c.Claim,
 	})
 	if errors.Is(err, elmfleet.ErrGone) {
-		return elmrequest.Refused{Refusal: &elmwire.Refusal{Reason: elmwire.Reason_REASON_STALE, Unrun: true}}
+		return elmrequest.Refused{Attempt: c.Attempt, Refusal: &elmwire.Refusal{Reason: elmwire.Reason_REASON_STALE, Unrun: true}}
 	}
 	if err != nil {
-		return elmrequest.Broken{Spent: x.entry.withdraw()}
+		return elmrequest.Broken{Attempt: c.Attempt, Spent: x.entry.withdraw()}
 	}
 	x.attempt = attempt
 	x.messages = make(chan elmrequest.Message)
 	ctx, stop := context.WithCancel(context.WithoutCancel(x.ctx))
 	x.stop = stop
-	go x.receive(ctx, attempt, x.messages)
+	go x.receive(ctx, c.Attempt, attempt, x.messages)
 	return nil
 }
 
 // receive passes on the frames of an attempt until it ends.
-func (x *exchange) receive(ctx context.Context, attempt *elmfleet.Call, messages chan<- elmrequest.Message) {
+func (x *exchange) receive(ctx context.Context, name string, attempt *elmfleet.Call, messages chan<- elmrequest.Message) {
 	for {
-		message, more := x.next(attempt)
+		message, more := x.next(name, attempt)
 		select {
 		case messages <- message:
 		case <-ctx.Done():
@@ -276,23 +276,24 @@
 	}
 }
 
-func (x *exchange) next(attempt *elmfleet.Call) (message elmrequest.Message, more bool) {
+// next returns the message for the next frame, and whether more may follow.
+func (x *exchange) next(name string, attempt *elmfleet.Call) (message elmrequest.Message, more bool) {
 	frame, err := attempt.Next()
 	if err != nil {
-		return elmrequest.Broken{Spent: x.entry.withdraw()}, false
+		return elmrequest.Broken{Attempt: name, Spent: x.entry.withdraw()}, false
 	}
 	switch kind := frame.GetKind().(type) {
 	case *elmwire.Frame_Head:
-		return elmrequest.Headed{Status: kind.Head.GetStatus(), Media: kind.Head.GetMedia()}, true
+		return elmrequest.Headed{Attempt: name, Status: kind.Head.GetStatus(), Media: kind.Head.GetMedia()}, true
 	case *elmwire.Frame_Data:
-		return elmrequest.Data{Bytes: kind.Data}, true
+		return elmrequest.Data{Attempt: name, Bytes: kind.Data}, true
 	case *elmwire.Frame_End:
-		return elmrequest.Ended{}, false
+		return elmrequest.Ended{Attempt: name}, false
 	case *elmwire.Frame_Refusal:
 		spent := !kind.Refusal.GetUnrun() && x.entry.withdraw()
-		return elmrequest.Refused{Refusal: kind.Refusal, Spent: spent}, false
+		return elmrequest.Refused{Attempt: name, Refusal: kind.Refusal, Spent: spent}, false
 	}
-	return elmrequest.Broken{}, false
+	return elmrequest.Broken{Attempt: name}, false
 }
 
 // begin sends the head of the answer, once there is something to follow it.
--- a/internal/entry/elmfleet/call.go
+++ b/internal/entry/elmfleet/call.go
@@ -20,11 +20,11 @@
 	end    func()
 }
 
-func newCall(stream *quic.Stream, request string, end func()) *Call {
+func newCall(stream *quic.Stream, attempt string, end func()) *Call {
 	return &Call{
 		stream: stream,
 		reader: bufio.NewReader(stream),
-		frames: elmframe.New(request),
+		frames: elmframe.New(attempt),
 		end:    end,
 	}
 }
--- a/internal/entry/elmfleet/member.go
+++ b/internal/entry/elmfleet/member.go
@@ -213,7 +213,7 @@
 		return nil, err
 	}
 	m.begin()
-	call := newCall(stream, open.GetRequest(), m.end)
+	call := newCall(stream, open.GetAttempt(), m.end)
 	if err := elmlink.Write(stream, open); err != nil {
 		call.Close()
 		return nil, err
--- a/internal/entry/elmrequest/elmrequest.go
+++ b/internal/entry/elmrequest/elmrequest.go
@@ -108,9 +108,12 @@
 // Attempts returns the number of agents that the request was sent to.
 func (r Request) Attempts() int { return r.attempts }
 
-// Update applies a message. A message that the present state does not accept
-// changes nothing.
+// Update applies a message. A message that the present state does not accept,
+// or that comes from an earlier attempt, changes nothing.
 func (r Request) Update(m Message) (Request, []Command) {
+	if attempt := attemptOf(m); attempt != "" && attempt != r.attempt() {
+		return r, nil
+	}
 	step, ok := chart.Step(r.state, r.event(m))
 	if !ok {
 		return r, nil
@@ -258,10 +261,10 @@
 		return r, []Command{Cancel{}}
 	case "begin":
 		head, _ := m.(Headed)
-		return r, []Command{Begin(head)}
+		return r, []Command{Begin{Status: head.Status, Media: head.Media}}
 	case "write":
 		data, _ := m.(Data)
-		return r, []Command{Write(data)}
+		return r, []Command{Write{Bytes: data.Bytes}}
 	case "finish":
 		return r, []Command{Finish{}}
 	case "abort":
--- a/internal/entry/elmrequest/messages.go
+++ b/internal/entry/elmrequest/messages.go
@@ -25,22 +25,30 @@
 	Unplaced struct{}
 	// Headed reports the status and media type of the answer.
 	Headed struct {
-		Status uint32
-		Media  string
+		Attempt string
+		Status  uint32
+		Media   string
 	}
 	// Data carries the next verified part of the answer.
-	Data struct{ Bytes []byte }
+	Data struct {
+		Attempt string
+		Bytes   []byte
+	}
 	// Ended reports that the answer is whole and its checksum is right.
-	Ended struct{}
-	// Refused reports that the agent refused the request. Spent means that
+	Ended struct{ Attempt string }
+	// Refused reports that the agent refused the attempt. Spent means that
 	// the retry budget is used up.
 	Refused struct {
+		Attempt string
 		Refusal *elmwire.Refusal
 		Spent   bool
 	}
 	// Broken reports that the answer was cut short, damaged, or lost. Spent
 	// means that the retry budget is used up.
-	Broken struct{ Spent bool }
+	Broken struct {
+		Attempt string
+		Spent   bool
+	}
 	// Left reports that the caller has gone.
 	Left struct{}
 	// Expired reports that the time allowed for the request is over.
@@ -50,6 +58,24 @@
 	Thawed struct{}
 )
 
+// attemptOf returns the attempt that a message comes from, or "" for a message
+// that does not come from an agent.
+func attemptOf(m Message) string {
+	switch m := m.(type) {
+	case Headed:
+		return m.Attempt
+	case Data:
+		return m.Attempt
+	case Ended:
+		return m.Attempt
+	case Refused:
+		return m.Attempt
+	case Broken:
+		return m.Attempt
+	}
+	return ""
+}
+
 func (Start) message()       {}
 func (Tallied) message()     {}
 func (StoreFailed) message() {}
