Prove the promises on real processes under kill, freeze and outage

Cause: the decisions were proved in virtual time only. The programs, built with the race detector, now run as sites of 13 processes each, with SIGKILL, SIGSTOP, SIGTERM, the key-value service down or losing replies, services and engines that break off, an instance list that vanishes, and operators that race.

Found red and mended: - a data race between the decisions of a request and its reader (the note of a refusal read the request that the other was changing); - an agent that was stopping took new links, and so never ended; - agents asked plain services for load reports, which counted as 20 calls. Ruled out as faults of the product: sites of one test process that shared a loopback address and so took each other's ports (one site never got ready).

Conclusion: at most once, honest refusals, whole answers, shutdown and take-out hold for these faults on real processes.

--- a/cmd/elmdemo/main.go
+++ b/cmd/elmdemo/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/stand/elmclient"
 	"github.com/elmcove/elmcove/internal/stand/elmlocal"
 )
 
@@ -102,7 +103,7 @@
 	}
 	defer site.Stop()
 	fmt.Printf("started 7 entries, 15 endpoints with agents, and the platform in %s\n", time.Since(begin).Round(time.Millisecond))
-	c := &checks{ctx: ctx, site: site}
+	c := &checks{ctx: ctx, site: site, client: elmclient.New("curb-secret")}
 	c.checkStream()
 	c.checkAbandoned()
 	c.checkOrderTwice()
--- a/internal/agent/elmagent/elmagent.go
+++ b/internal/agent/elmagent/elmagent.go
@@ -129,6 +129,10 @@
 		if err != nil {
 			return
 		}
+		if a.isLeaving() {
+			_ = conn.CloseWithError(1, "leaving") // The entry may have gone.
+			continue
+		}
 		a.links.Go(func() { a.serveLink(ctx, conn) })
 	}
 }
@@ -180,6 +184,12 @@
 	}
 }
 
+func (a *Agent) isLeaving() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.leaving
+}
+
 // takes reports whether the endpoint may receive new work.
 func (a *Agent) takes() bool {
 	a.mutex.Lock()
@@ -235,16 +245,8 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
-		load, err := a.caller.Load(ctx)
-		before := a.gate.Pool().Shared()
-		a.mutex.Lock()
-		if err == nil {
-			a.warmth = a.warmth.WithReport(elmwarmth.Report{Capacity: load.Capacity, Measured: load.Measured})
-		}
-		a.resizeLocked()
-		a.mutex.Unlock()
-		if a.gate.Pool().Shared() != before {
-			a.grantAll()
+		if a.holder.Config().Model(a.settings.Service) {
+			a.takeLoad(ctx)
 		}
 		select {
 		case <-ticker.C:
@@ -254,6 +256,22 @@
 	}
 }
 
+// takeLoad takes in one load report, and tells the entries if the capacity has
+// changed.
+func (a *Agent) takeLoad(ctx context.Context) {
+	load, err := a.caller.Load(ctx)
+	before := a.gate.Pool().Shared()
+	a.mutex.Lock()
+	if err == nil {
+		a.warmth = a.warmth.WithReport(elmwarmth.Report{Capacity: load.Capacity, Measured: load.Measured})
+	}
+	a.resizeLocked()
+	a.mutex.Unlock()
+	if a.gate.Pool().Shared() != before {
+		a.grantAll()
+	}
+}
+
 // chill reduces the load after the endpoint has failed.
 func (a *Agent) chill() {
 	a.mutex.Lock()
--- a/internal/entry/elmentry/exchange.go
+++ b/internal/entry/elmentry/exchange.go
@@ -48,6 +48,7 @@
 	call     call
 	start    time.Time
 	deadline time.Time
+	id       string
 	request  elmrequest.Request
 	attempt  *elmfleet.Call
 	messages chan elmrequest.Message
@@ -74,6 +75,7 @@
 		call:     c,
 		start:    now,
 		deadline: now.Add(sender.config.Time(c.service)),
+		id:       request.ID(),
 		request:  request,
 		stop:     func() {},
 	}
@@ -291,7 +293,7 @@
 	case *elmwire.Frame_End:
 		return elmrequest.Ended{Attempt: name}, false
 	case *elmwire.Frame_Refusal:
-		x.entry.ledger.Note(x.request.ID(), fmt.Sprintf("refused by %s: %s", attempt.Agent(), kind.Refusal.GetReason()))
+		x.entry.ledger.Note(x.id, fmt.Sprintf("refused by %s: %s", attempt.Agent(), kind.Refusal.GetReason()))
 		if kind.Refusal.GetReason() == elmwire.Reason_REASON_CAPACITY {
 			x.entry.fleet.NoteFull(attempt.Agent())
 		}
--- a/internal/stand/elmlocal/elmlocal.go
+++ b/internal/stand/elmlocal/elmlocal.go
@@ -22,6 +22,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,8 @@
 	Plains int
 	// Step is the time of one step of an engine.
 	Step time.Duration
+	// Call is the time of one call of a plain service.
+	Call time.Duration
 }
 
 // Granite returns the plan of the Granite Ring example.
@@ -72,6 +75,7 @@
 		Plain:       "dispatch",
 		Plains:      3,
 		Step:        6 * time.Millisecond,
+		Call:        6 * time.Millisecond,
 	}
 }
 
@@ -108,7 +112,7 @@
 func Start(ctx context.Context, plan Plan) (*Site, error) {
 	s := &Site{
 		plan:      plan,
-		host:      loopback(os.Getpid()),
+		host:      loopback(os.Getpid(), sites.Add(1)),
 		keys:      filepath.Join(plan.Folder, "keys"),
 		processes: map[string]*exec.Cmd{},
 		done:      map[string]chan struct{}{},
@@ -344,6 +348,9 @@
 		return err
 	}
 	step := s.plan.Step.String()
+	if service == s.plan.Plain {
+		step = s.plan.Call.String()
+	}
 	if err := s.start(name+"-endpoint", "elmstand", "-kind", kind, "-http", endpoint, "-step", step); err != nil {
 		return err
 	}
@@ -455,11 +462,14 @@
 	return "entry-" + strconv.Itoa(index+1)
 }
 
+// sites counts the sites that this process has started.
+var sites atomic.Uint32
+
 // loopback returns an address that belongs to the processes of one site only.
 // Connections start from 127.0.0.1, so that none takes a port of the site.
-func loopback(id int) string {
+func loopback(process int, site uint32) string {
 	const size = 250
-	return fmt.Sprintf("127.%d.%d.1", 1+id/size%size, 1+id%size)
+	return fmt.Sprintf("127.%d.%d.%d", 1+process/size%size, 1+process%size, 1+site%size)
 }
 
 // freePort returns an address of the site whose port is free now.
--- /dev/null
+++ b/internal/stand/elmlocal/elmlocal_test.go
@@ -0,0 +1,502 @@
+package elmlocal_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/elmcove/elmcove/internal/stand/elmclient"
+	"github.com/elmcove/elmcove/internal/stand/elmlocal"
+)
+
+const (
+	tokens      = 40
+	testTimeout = 3 * time.Minute
+	callTime    = 400 * time.Millisecond
+	settleTime  = 8 * time.Second
+	granite     = "../../../examples/granite/"
+)
+
+// bin is the folder with the programs, built with the race detector.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "elmcove-bin-")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }() // A leftover folder does no harm.
+	bin = folder
+	build := exec.Command("go", "build", "-race", "-o", folder, "../../../cmd/elmcove", "../../../cmd/elmstand")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v: %s", err, output))
+	}
+	return m.Run()
+}
+
+// fixture is a site that runs, and a caller.
+type fixture struct {
+	*testing.T
+	ctx    context.Context
+	site   *elmlocal.Site
+	client *elmclient.Client
+}
+
+// start runs a small site for one test, and checks its logs for data races.
+func start(t *testing.T) *fixture {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	folder := t.TempDir()
+	site, err := elmlocal.Start(ctx, elmlocal.Plan{
+		Bin:         bin,
+		Folder:      folder,
+		Name:        "granite",
+		Datacentres: []string{"worcester", "manchester", "springfield"},
+		Entries:     3,
+		Model:       "draft",
+		Models:      3,
+		Plain:       "dispatch",
+		Plains:      3,
+		Step:        6 * time.Millisecond,
+		Call:        callTime,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := elmclient.New("curb-secret")
+	t.Cleanup(func() {
+		client.Close()
+		site.Stop()
+		checkLogs(t, folder)
+	})
+	f := &fixture{T: t, ctx: ctx, site: site, client: client}
+	f.command("apply", "-platform", site.Platform, "-base", granite+"base.json", "-overlay", granite+"overlay.json")
+	if err := site.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func checkLogs(t *testing.T, folder string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(text), "DATA RACE") || strings.Contains(string(text), "panic:") {
+			t.Errorf("%s:\n%s", filepath.Base(path), text)
+		}
+	}
+}
+
+func (f *fixture) command(arguments ...string) string {
+	f.Helper()
+	output, err := f.site.Command(f.ctx, arguments...)
+	if err != nil {
+		f.Fatal(err)
+	}
+	return output
+}
+
+func (f *fixture) signal(name string, signal syscall.Signal) {
+	f.Helper()
+	if err := f.site.Signal(name, signal); err != nil {
+		f.Fatal(err)
+	}
+}
+
+func (f *fixture) fault(kind string) {
+	f.Helper()
+	if err := f.site.SetFault(f.ctx, kind); err != nil {
+		f.Fatal(err)
+	}
+}
+
+func (f *fixture) entry(number int) string {
+	return f.site.EntryURL(fmt.Sprintf("entry-%d", number))
+}
+
+// order sends a work order and gives up after a time.
+func (f *fixture) order(entry int, key string, patience time.Duration) elmclient.Answer {
+	ctx, cancel := context.WithTimeout(f.ctx, patience)
+	defer cancel()
+	return f.client.Order(ctx, f.entry(entry), key)
+}
+
+// until waits for something that may be observed.
+func (f *fixture) until(what string, limit time.Duration, held func() bool) {
+	f.Helper()
+	for begin := time.Now(); !held(); {
+		if time.Since(begin) > limit {
+			f.Fatalf("%s: not within %s", what, limit)
+		}
+		pause(f.ctx, 20*time.Millisecond)
+	}
+}
+
+// pause lets time pass between two observations of real processes.
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
+func newKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+func (f *fixture) wantOutcome(a elmclient.Answer, outcome string) {
+	f.Helper()
+	if got := a.Problem().Outcome; got != outcome {
+		f.Errorf("outcome %q, want %q (status %d, body %s, error %v)", got, outcome, a.Status, a.Body, a.Err)
+	}
+}
+
+func (f *fixture) wantRuns(key string, least, most int) {
+	f.Helper()
+	if runs := f.site.Executions(f.ctx, key); runs < least || runs > most {
+		f.Errorf("the order ran %d times, want %d to %d", runs, least, most)
+	}
+}
+
+// draft asks for a completion, and again while it is called not run.
+func (f *fixture) draft(entry, count int) elmclient.Answer {
+	var a elmclient.Answer
+	for begin := time.Now(); time.Since(begin) < settleTime; pause(f.ctx, 200*time.Millisecond) {
+		a = f.client.Draft(f.ctx, f.entry(entry), count)
+		if a.Problem().Outcome != "not-run" {
+			break
+		}
+	}
+	return a
+}
+
+// settle asks for the same order until it is answered.
+func (f *fixture) settle(entry int, key string) elmclient.Answer {
+	var a elmclient.Answer
+	for begin := time.Now(); time.Since(begin) < settleTime; pause(f.ctx, 200*time.Millisecond) {
+		a = f.order(entry, key, settleTime)
+		if a.Status == 200 {
+			break
+		}
+	}
+	return a
+}
+
+func TestAgentKilledDuringOrder(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	key := newKey()
+	var first elmclient.Answer
+	var group sync.WaitGroup
+	group.Go(func() { first = f.order(1, key, settleTime) })
+	f.until("the order runs", settleTime, func() bool { return f.site.Executions(f.ctx, key) == 1 })
+	for _, agent := range []string{"dispatch-1", "dispatch-2", "dispatch-3"} {
+		f.signal(agent, syscall.SIGKILL)
+	}
+	group.Wait()
+	f.wantOutcome(first, "unknown")
+	for _, agent := range []string{"dispatch-1", "dispatch-2", "dispatch-3"} {
+		if err := f.site.Restart(agent); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.site.WaitReady(f.ctx); err != nil {
+		t.Fatal(err)
+	}
+	f.wantOutcome(f.order(2, key, settleTime), "unknown")
+	f.wantRuns(key, 1, 1)
+	other := newKey()
+	if a := f.settle(3, other); a.Status != 200 {
+		t.Errorf("a new order answered %d: %s", a.Status, a.Body)
+	}
+	f.wantRuns(other, 1, 1)
+}
+
+func TestEntryFrozenWithOrder(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	key := newKey()
+	f.signal("entry-1", syscall.SIGSTOP)
+	if a := f.order(1, key, 1200*time.Millisecond); a.Err == nil {
+		t.Errorf("a frozen entry answered %d", a.Status)
+	}
+	if a := f.settle(2, key); a.Status != 200 {
+		t.Errorf("the repeated order answered %d: %s", a.Status, a.Body)
+	}
+	f.signal("entry-1", syscall.SIGCONT)
+	pause(f.ctx, 2*callTime)
+	f.wantRuns(key, 1, 1)
+	if a := f.settle(1, newKey()); a.Status != 200 {
+		t.Errorf("the thawed entry answered %d: %s", a.Status, a.Body)
+	}
+}
+
+func TestAgentsFrozenWithOrder(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	key := newKey()
+	agents := []string{"dispatch-1", "dispatch-2", "dispatch-3"}
+	for _, a := range agents {
+		f.signal(a, syscall.SIGSTOP)
+	}
+	refused := f.order(1, key, 2*settleTime)
+	for _, a := range agents {
+		f.signal(a, syscall.SIGCONT)
+	}
+	pause(f.ctx, 4*callTime)
+	f.wantOutcome(refused, "not-run")
+	f.wantRuns(key, 0, 0)
+	if a := f.settle(2, key); a.Status != 200 {
+		t.Errorf("the repeated order answered %d: %s", a.Status, a.Body)
+	}
+	f.wantRuns(key, 1, 1)
+}
+
+func TestStoreDown(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	f.fault("down")
+	if a := f.client.Draft(f.ctx, f.entry(1), tokens); !a.Whole(tokens) {
+		t.Errorf("a draft answered %d: %s", a.Status, a.Body)
+	}
+	if a := f.order(1, "", settleTime); a.Status != 200 {
+		t.Errorf("an order without a key answered %d: %s", a.Status, a.Body)
+	}
+	key := newKey()
+	a := f.order(1, key, settleTime)
+	f.wantOutcome(a, "unknown")
+	if a.Header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+	f.wantRuns(key, 0, 0)
+	f.fault("none")
+	if a := f.settle(1, key); a.Status != 200 {
+		t.Errorf("the order answered %d: %s", a.Status, a.Body)
+	}
+	f.wantRuns(key, 1, 1)
+}
+
+func TestStoreLosesReplies(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	f.fault("lost")
+	key := newKey()
+	if a := f.order(1, key, settleTime); a.Status != 200 {
+		t.Errorf("the order answered %d: %s", a.Status, a.Body)
+	}
+	if a := f.order(2, key, settleTime); a.Status != 200 || a.Header.Get("Idempotency-Replayed") != "true" {
+		t.Errorf("the repeated order answered %d: %s", a.Status, a.Body)
+	}
+	f.wantRuns(key, 1, 1)
+}
+
+func TestServiceLosesReply(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	if err := f.site.Break(f.ctx, "dispatch"); err != nil {
+		t.Fatal(err)
+	}
+	key := newKey()
+	f.wantOutcome(f.order(1, key, settleTime), "unknown")
+	f.wantRuns(key, 1, 1)
+	if err := f.site.Break(f.ctx, "dispatch"); err != nil {
+		t.Fatal(err)
+	}
+	f.wantOutcome(f.order(1, "", settleTime), "unknown")
+	f.wantRuns("", 2, 2)
+}
+
+func TestEngineBreaksOff(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	if err := f.site.Break(f.ctx, "draft"); err != nil {
+		t.Fatal(err)
+	}
+	a := f.client.Draft(f.ctx, f.entry(1), tokens)
+	if a.LooksWhole() || !strings.Contains(a.Body, "event: error") {
+		t.Errorf("a broken answer looks whole: %d %s %v", a.Status, a.Body, a.Err)
+	}
+}
+
+func TestAgentsKilledDuringStream(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	var a elmclient.Answer
+	var group sync.WaitGroup
+	group.Go(func() { a = f.client.Draft(f.ctx, f.entry(1), 10*tokens) })
+	f.until("tokens flow", settleTime, func() bool { return f.site.EngineCounts(f.ctx, "").Tokens > 5 })
+	for _, agent := range []string{"draft-1", "draft-2", "draft-3"} {
+		f.signal(agent, syscall.SIGKILL)
+	}
+	group.Wait()
+	if a.LooksWhole() || !strings.Contains(a.Body, "event: error") {
+		t.Errorf("a broken answer looks whole: %d %v", a.Status, a.Err)
+	}
+}
+
+func TestShutdownCutsOffNothing(t *testing.T) {
+	t.Parallel()
+	tests := map[string]string{"entry": "entry-1", "agent": "draft-1", "outage": "entry-1"}
+	for name, process := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t)
+			if name == "outage" {
+				f.fault("down")
+			}
+			var answers [2]elmclient.Answer
+			var group sync.WaitGroup
+			for i := range answers {
+				group.Go(func() { answers[i] = f.client.Draft(f.ctx, f.entry(1), tokens) })
+			}
+			f.until("tokens flow", settleTime, func() bool { return f.site.EngineCounts(f.ctx, "").Tokens > 2 })
+			f.signal(process, syscall.SIGTERM)
+			pause(f.ctx, 50*time.Millisecond)
+			f.signal(process, syscall.SIGTERM)
+			late := f.client.Draft(f.ctx, f.entry(1), 2)
+			group.Wait()
+			for i, a := range answers {
+				if !a.Whole(tokens) {
+					t.Errorf("stream %d: %d %v %s", i, a.Status, a.Err, a.Body)
+				}
+			}
+			if !late.Whole(2) {
+				t.Errorf("a request in the balancer's lag: %d %v %s", late.Status, late.Err, late.Body)
+			}
+			ctx, cancel := context.WithTimeout(f.ctx, settleTime)
+			defer cancel()
+			if err := f.site.Wait(ctx, process); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func TestOutWithFrozenEntry(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	f.signal("entry-1", syscall.SIGSTOP)
+	f.command("out", "-platform", f.site.Platform, "worcester")
+	pause(f.ctx, 3*time.Second)
+	f.signal("entry-1", syscall.SIGCONT)
+	before := f.site.EngineCounts(f.ctx, "worcester").Started
+	for range 6 {
+		if a := f.draft(1, 3); !a.Whole(3) {
+			t.Errorf("answered %d: %s", a.Status, a.Body)
+		}
+	}
+	if after := f.site.EngineCounts(f.ctx, "worcester").Started; after != before {
+		t.Errorf("worcester received %d new requests", after-before)
+	}
+}
+
+func TestAbandonedIsCancelled(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	ctx, cancel := context.WithCancel(f.ctx)
+	var group sync.WaitGroup
+	group.Go(func() { _ = f.client.Draft(ctx, f.entry(1), 2000) })
+	f.until("tokens flow", settleTime, func() bool { return f.site.EngineCounts(f.ctx, "").Tokens > 2 })
+	cancel()
+	begin := time.Now()
+	f.until("cancelled at the engine", time.Second, func() bool { return f.site.EngineCounts(f.ctx, "").Cancelled == 1 })
+	t.Logf("cancelled within %s", time.Since(begin))
+	group.Wait()
+}
+
+func TestListVanishes(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	names := append(f.site.EntryNames(), "draft-1", "draft-2", "draft-3", "dispatch-1", "dispatch-2", "dispatch-3")
+	if err := f.site.List(f.ctx, names...); err != nil {
+		t.Fatal(err)
+	}
+	pause(f.ctx, 5*time.Second)
+	if a := f.client.Draft(f.ctx, f.entry(1), tokens); !a.Whole(tokens) {
+		t.Errorf("answered %d: %s", a.Status, a.Body)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	draft := f.entry(1) + "/v1/chat/completions"
+	orders := f.entry(1) + "/services/dispatch/orders"
+	good := `{"model":"draft","messages":[{"role":"user","content":"x"}]}`
+	tests := map[string]struct {
+		client *elmclient.Client
+		url    string
+		body   string
+		key    string
+		status int
+	}{
+		"malformed JSON":   {f.client, draft, `{"model":`, "", 400},
+		"no messages":      {f.client, draft, `{"model":"draft","messages":[]}`, "", 400},
+		"unknown model":    {f.client, draft, strings.Replace(good, "draft", "other", 1), "", 404},
+		"oversize body":    {f.client, draft, strings.Replace(good, "x", strings.Repeat("x", 1<<17), 1), "", 413},
+		"wrong credential": {elmclient.New("guess"), draft, good, "", 401},
+		"unknown service":  {f.client, f.entry(1) + "/services/other/orders", "{}", "", 404},
+		"key not a UUID":   {f.client, orders, "{}", "1234", 400},
+		"key too old":      {f.client, orders, "{}", "01890a5d-ac96-774b-bcce-b302099a8057", 400},
+		"oversize order":   {f.client, orders, strings.Repeat("x", 1<<17), newKey(), 413},
+	}
+	for name, test := range tests {
+		a := test.client.Post(f.ctx, test.url, test.body, test.key)
+		if a.Status != test.status {
+			t.Errorf("%s: status %d, want %d: %s %v", name, a.Status, test.status, a.Body, a.Err)
+		}
+		if a.Problem().Outcome != "not-run" {
+			t.Errorf("%s: outcome %q: %s", name, a.Problem().Outcome, a.Body)
+		}
+	}
+	if a := f.client.Draft(f.ctx, f.entry(1), tokens); !a.Whole(tokens) {
+		t.Errorf("afterwards: %d %s", a.Status, a.Body)
+	}
+}
+
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	var group sync.WaitGroup
+	var errors [4]error
+	for i := range errors {
+		group.Go(func() {
+			_, errors[i] = f.site.Command(f.ctx, "out", "-platform", f.site.Platform, []string{"worcester", "manchester"}[i%2])
+		})
+	}
+	group.Wait()
+	accepted := 0
+	for _, err := range errors {
+		if err == nil {
+			accepted++
+			continue
+		}
+		if !strings.Contains(err.Error(), "another change was accepted first") || !strings.Contains(err.Error(), "accepted:") {
+			t.Errorf("conflict is not explained: %v", err)
+		}
+	}
+	if lines := strings.Count(f.command("history", "-platform", f.site.Platform), "\n"); lines != accepted+1 {
+		t.Errorf("history has %d changes, want %d", lines, accepted+1)
+	}
+}
--- /dev/null
+++ b/internal/stand/elmlocal/observe.go
@@ -0,0 +1,84 @@
+package elmlocal
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/elmcove/elmcove/internal/stand/elmengine"
+	"github.com/elmcove/elmcove/internal/stand/elmplatform"
+)
+
+// EngineCounts adds up what the engines of a data centre have seen, or of all
+// data centres if none is named.
+func (s *Site) EngineCounts(ctx context.Context, datacentre string) elmengine.Counts {
+	var total elmengine.Counts
+	for _, e := range s.Endpoints {
+		if e.Service != s.plan.Model || (datacentre != "" && e.Datacentre != datacentre) {
+			continue
+		}
+		var counts elmengine.Counts
+		s.fetch(ctx, e.URL+"/control/counts", &counts)
+		total.Started += counts.Started
+		total.Finished += counts.Finished
+		total.Cancelled += counts.Cancelled
+		total.Overrun += counts.Overrun
+		total.Tokens += counts.Tokens
+		total.Peak = max(total.Peak, counts.Peak)
+	}
+	return total
+}
+
+// Executions counts the executions of a key at the plain services. Agents pass
+// the key on with the name of the workspace before it.
+func (s *Site) Executions(ctx context.Context, key string) int {
+	total := 0
+	for _, e := range s.Endpoints {
+		if e.Service != s.plan.Plain {
+			continue
+		}
+		var executions map[string]int
+		s.fetch(ctx, e.URL+"/control/executions", &executions)
+		for name, count := range executions {
+			if strings.HasSuffix(name, key) {
+				total += count
+			}
+		}
+	}
+	return total
+}
+
+// PlatformCounts returns the calls that the platform's stand-in has seen.
+func (s *Site) PlatformCounts(ctx context.Context) elmplatform.Counts {
+	var counts elmplatform.Counts
+	s.fetch(ctx, s.Platform+"/control/counts", &counts)
+	return counts
+}
+
+// Break lets the next call of each endpoint of a service break off.
+func (s *Site) Break(ctx context.Context, service string) error {
+	for _, e := range s.Endpoints {
+		if e.Service != service {
+			continue
+		}
+		if err := s.control(ctx, http.MethodPost, e.URL+"/control/break", nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fetch reads a JSON document. What does not answer counts nothing.
+func (s *Site) fetch(ctx context.Context, url string, document any) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }() // Nothing is left to read.
+	_ = json.NewDecoder(response.Body).Decode(document)
+}
