Measure what links, requests and claims cost, and cut the cost of a link

Cause: an idle link cost 2,300 bytes/s and 0.043% of a core at the entry. Of that were, in this order: the platform's whole list every 3 s, path MTU probes, a grant on a timer beside the one that answers a want, and a UDP socket for each link. Load reports of the stand-in engines, on loopback, were the rest.

The list is now watched by version and data centre, a grant answers each want (every 1.5 s, life 3.5 s), probes are off, and an entry's links share a socket.

Steps that a hiccup delays for all requests at once count as one now, and 5 ms of jitter is allowed.

The wildcard sockets of entries took ports that agents of other sites were about to bind.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PACKAGES := ./...
 
-.PHONY: build demo up test generate generated lint format measure bench
+# capacity measures the slopes that docs/CAPACITY.md is worked out from.
+.PHONY: capacity build demo up test generate generated lint format measure bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -41,5 +42,8 @@
 	@if [ -n "$(RED)" ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
 	go test -race -timeout 20m $(if $(RED),-skip '^($(RED))$$') $(PACKAGES)
 
+capacity: build
+	bin/elmcapacity -bin bin > docs/SLOPES.md
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
--- a/internal/agent/elmagent/elmagent.go
+++ b/internal/agent/elmagent/elmagent.go
@@ -36,10 +36,9 @@
 )
 
 const (
-	grantInterval = time.Second
-	loadInterval  = 250 * time.Millisecond
-	drainTimeout  = 2 * time.Minute
-	seenMargin    = time.Minute
+	loadInterval = 250 * time.Millisecond
+	drainTimeout = 2 * time.Minute
+	seenMargin   = time.Minute
 )
 
 // ErrAgent reports that the agent can't run.
--- a/internal/agent/elmagent/links.go
+++ b/internal/agent/elmagent/links.go
@@ -24,7 +24,7 @@
 	a.join(link)
 	defer a.leave(link)
 	go a.receive(link)
-	go a.renew(link)
+	a.grant(link)
 	a.serveStreams(ctx, link)
 }
 
@@ -91,21 +91,6 @@
 	a.grant(link)
 }
 
-// renew grants an entry its window from time to time, which also keeps the
-// link alive.
-func (a *Agent) renew(link *elmlink.Link) {
-	ticker := time.NewTicker(grantInterval)
-	defer ticker.Stop()
-	for {
-		a.grant(link)
-		select {
-		case <-ticker.C:
-		case <-link.Done():
-			return
-		}
-	}
-}
-
 func (a *Agent) grantAll() {
 	a.mutex.Lock()
 	peers := a.peerList()
--- a/internal/config/elmsettings/elmsettings.go
+++ b/internal/config/elmsettings/elmsettings.go
@@ -44,6 +44,9 @@
 	Keys string `json:"keys"`
 	// HTTP is the address for callers (entry) or operators (agent).
 	HTTP string `json:"http"`
+	// Datacentres names the data centres whose agents an entry is linked to.
+	// It is linked to all if none is named.
+	Datacentres []string `json:"datacentres,omitempty"`
 	// Link is the address on which an agent accepts links.
 	Link string `json:"link,omitempty"`
 	// Service names the service of an agent's endpoint.
--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -33,6 +33,7 @@
 	"github.com/elmcove/elmcove/internal/platform/elmstore"
 	"github.com/elmcove/elmcove/internal/route/elmpicker"
 	"github.com/elmcove/elmcove/internal/wire/elmkeys"
+	"github.com/elmcove/elmcove/internal/wire/elmlink"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -98,7 +99,15 @@
 		option(e)
 	}
 	hello := &elmwire.Hello{Instance: settings.Instance, Datacentre: settings.Datacentre, Incarnation: e.life}
-	e.fleet = elmfleet.New(hello, keys.Client(), e, e.logger)
+	host, _, err := net.SplitHostPort(settings.HTTP)
+	if err != nil {
+		return nil, fmt.Errorf("%w: http address %q: %w", ErrEntry, settings.HTTP, err)
+	}
+	dialer, err := elmlink.NewDialer(host, keys.Client())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
+	}
+	e.fleet = elmfleet.New(hello, dialer, e, e.logger)
 	return e, nil
 }
 
--- a/internal/entry/elmentry/follow.go
+++ b/internal/entry/elmentry/follow.go
@@ -11,10 +11,9 @@
 )
 
 const (
-	rosterInterval = 3 * time.Second
-	watchWait      = 20 * time.Second
-	pollInterval   = 30 * time.Second
-	retryInterval  = 500 * time.Millisecond
+	watchWait     = 20 * time.Second
+	pollInterval  = 30 * time.Second
+	retryInterval = 500 * time.Millisecond
 	// watchers is the number of entries in a data centre that watch the
 	// configuration for the others.
 	watchers = 2
@@ -22,34 +21,34 @@
 
 // followRoster keeps the links as the platform's instance list says.
 func (e *Entry) followRoster(ctx context.Context) {
+	version := int64(-1)
 	for {
-		pause := rosterInterval
-		if !e.refreshRoster(ctx) {
-			pause = retryInterval
-		}
-		if !rest(ctx, pause) {
+		version = e.refreshRoster(ctx, version)
+		if !rest(ctx, retryInterval) {
 			return
 		}
 	}
 }
 
-// refreshRoster takes in the platform's list, and reports whether any agent is
-// known.
-func (e *Entry) refreshRoster(ctx context.Context) bool {
-	list, err := e.store.Instances(ctx)
-	if err != nil {
-		return true // The last list stays in use. Links tell which agents are alive.
+// refreshRoster takes in the platform's next list, and returns its version. A
+// list that is not believed is asked for again.
+func (e *Entry) refreshRoster(ctx context.Context, version int64) int64 {
+	list, err := e.store.WatchInstances(ctx, e.settings.Datacentres, version, watchWait)
+	if err != nil || list.Version == version {
+		return version // The last list stays in use. Links tell which agents are alive.
 	}
 	e.mutex.Lock()
-	roster, suspect := e.roster.Update(list, time.Now())
+	roster, suspect := e.roster.Update(list.Instances, time.Now())
 	e.roster = roster
 	e.mutex.Unlock()
 	if suspect {
-		e.logger.Event(elmlog.RosterSuspect, "listed", len(list))
+		e.logger.Event(elmlog.RosterSuspect, "listed", len(list.Instances))
 	}
-	agents := roster.Agents()
-	e.fleet.Follow(ctx, agents)
-	return len(agents) > 0
+	e.fleet.Follow(ctx, roster.Agents())
+	if suspect {
+		return version
+	}
+	return list.Version
 }
 
 // followConfig keeps the configuration as the key-value service has it. Most
@@ -68,9 +67,7 @@
 			pause = retryInterval
 		} else {
 			e.Adopt(&elmwire.Update{Revision: uint64(value.Version), Document: value.Data})
-			if !e.watches() {
-				pause = pollInterval
-			}
+			pause = e.configPause()
 		}
 		if !rest(ctx, pause) {
 			return
@@ -78,6 +75,17 @@
 	}
 }
 
+// configPause returns the time until the configuration is read again.
+func (e *Entry) configPause() time.Duration {
+	switch {
+	case e.holder.Config().Revision() == 0:
+		return retryInterval
+	case e.watches():
+		return 0
+	}
+	return pollInterval
+}
+
 func (e *Entry) readConfig(ctx context.Context, key string) (elmstore.Value, error) {
 	revision := e.holder.Config().Revision()
 	if revision == 0 || !e.watches() {
--- a/internal/entry/elmfleet/elmfleet.go
+++ b/internal/entry/elmfleet/elmfleet.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	fleet := elmfleet.New(hello, keys.Client(), logger)
+//	fleet := elmfleet.New(hello, dialer, holder, logger)
 //	fleet.Follow(ctx, roster.Agents())
 //	candidates := fleet.Candidates("draft", tried)
 //	call, err := fleet.Call(ctx, "agent-1", open)
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"slices"
@@ -52,7 +51,7 @@
 // Fleet is the links of one entry. It is safe for concurrent use.
 type Fleet struct {
 	hello  *elmwire.Hello
-	tls    *tls.Config
+	dialer *elmlink.Dialer
 	logger *elmlog.Logger
 	holder Holder
 
@@ -62,8 +61,8 @@
 }
 
 // New returns a Fleet without links.
-func New(hello *elmwire.Hello, config *tls.Config, holder Holder, logger *elmlog.Logger) *Fleet {
-	return &Fleet{hello: hello, tls: config, holder: holder, logger: logger, members: map[string]*member{}}
+func New(hello *elmwire.Hello, dialer *elmlink.Dialer, holder Holder, logger *elmlog.Logger) *Fleet {
+	return &Fleet{hello: hello, dialer: dialer, holder: holder, logger: logger, members: map[string]*member{}}
 }
 
 // Follow keeps a link to each of the agents, and ends the links to others once
@@ -88,9 +87,10 @@
 	}
 }
 
-// Wait blocks until all links have ended.
+// Wait blocks until all links have ended, and closes their socket.
 func (f *Fleet) Wait() {
 	f.done.Wait()
+	f.dialer.Close()
 }
 
 // Candidates returns the linked endpoints of a service that take new work,
@@ -195,5 +195,5 @@
 		Incarnation: f.hello.GetIncarnation(),
 		Revision:    f.holder.Update().GetRevision(),
 	}
-	return elmlink.Dial(ctx, address, f.tls, hello)
+	return f.dialer.Dial(ctx, address, hello)
 }
--- a/internal/entry/elmfleet/member.go
+++ b/internal/entry/elmfleet/member.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	wantInterval = time.Second
+	wantInterval = 1500 * time.Millisecond
 	firstRedial  = 100 * time.Millisecond
 	lastRedial   = 5 * time.Second
 	// spareWindow is the room that an entry asks for beyond its present use.
--- a/internal/limit/elmcredit/elmcredit.go
+++ b/internal/limit/elmcredit/elmcredit.go
@@ -26,7 +26,7 @@
 )
 
 // Lifetime is the time after which a window expires unless it is renewed.
-const Lifetime = 2 * time.Second
+const Lifetime = 3500 * time.Millisecond
 
 // ErrFull reports that the endpoint can't bear another request.
 var ErrFull = errors.New("endpoint is at its limit")
--- a/internal/limit/elmwarmth/elmwarmth.go
+++ b/internal/limit/elmwarmth/elmwarmth.go
@@ -31,6 +31,8 @@
 	// endpoint takes, and jumpSteps how many such steps in a row show it.
 	jumpFactor = 2
 	jumpSteps  = 2
+	// jitter is the difference between steps that scheduling alone may make.
+	jitter = 5 * time.Millisecond
 	// busyShare is the used share of the limit above which it may rise.
 	busyShare = 0.7
 	// idleAfter is the time without a step after which an endpoint may have
@@ -56,6 +58,7 @@
 	learned  float64
 	average  time.Duration
 	jumps    int
+	jumped   time.Time
 	samples  int
 	demand   int
 	report   Report
@@ -87,7 +90,7 @@
 // least 1, while running ones are on it.
 func (l Limit) Value(now time.Time, running int) int {
 	silence := now.Sub(l.observed)
-	if silence > idleAfter || (running > 0 && silence > jumpFactor*l.average) {
+	if silence > idleAfter || (running > 0 && silence > l.overdue()) {
 		return 1
 	}
 	return l.Learned()
@@ -108,12 +111,8 @@
 
 // Observe takes in the time of one step.
 func (l Limit) Observe(step time.Duration, now time.Time) Limit {
-	if l.average > 0 && step > jumpFactor*l.average {
-		l.jumps++
-		if l.jumps >= jumpSteps {
-			return l.Chill(now)
-		}
-		return l
+	if l.average > 0 && step > l.overdue() {
+		return l.jump(now)
 	}
 	l.jumps = 0
 	if now.Sub(l.observed) > idleAfter {
@@ -131,6 +130,20 @@
 	return l.adjust(now)
 }
 
+// jump takes in a step that took much too long. Requests that share a step
+// show it several times, which counts once.
+func (l Limit) jump(now time.Time) Limit {
+	if now.Sub(l.jumped) < l.average {
+		return l
+	}
+	l.jumped = now
+	l.jumps++
+	if l.jumps >= jumpSteps {
+		return l.Chill(now)
+	}
+	return l
+}
+
 // Chill returns the limit of an endpoint that has turned cold or failed.
 func (l Limit) Chill(now time.Time) Limit {
 	cold := New(l.goal, l.ceiling, now)
@@ -166,6 +179,11 @@
 	return now.Sub(l.rose) >= blindRise
 }
 
+// overdue returns the time of a step that shows a cold endpoint.
+func (l Limit) overdue() time.Duration {
+	return max(jumpFactor*l.average, l.average+jitter)
+}
+
 // highest returns what the limit may rise to.
 func (l Limit) highest() int {
 	if l.reports() {
--- a/internal/platform/elmstore/elmstore.go
+++ b/internal/platform/elmstore/elmstore.go
@@ -43,6 +43,12 @@
 	Value Value
 }
 
+// List is the platform's list of instances at a version.
+type List struct {
+	Version   int64
+	Instances []elmkvapi.Instance
+}
+
 // Store is a client of the platform. It is safe for concurrent use.
 type Store struct {
 	client *elmkvapi.Client
@@ -96,13 +102,29 @@
 
 // Instances returns the instances known to the platform. The list lags.
 func (s *Store) Instances(ctx context.Context) ([]elmkvapi.Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	list, err := s.list(ctx, elmkvapi.ListInstancesParams{}, callTimeout)
+	return list.Instances, err
+}
+
+// WatchInstances waits until the version of the list exceeds after, or the wait
+// is over, and returns the instances of some data centres, or of all if none is
+// named. A list at the version after bears no instances.
+func (s *Store) WatchInstances(ctx context.Context, datacentres []string, after int64, wait time.Duration) (List, error) {
+	return s.list(ctx, elmkvapi.ListInstancesParams{
+		Datacentre: datacentres,
+		After:      elmkvapi.NewOptInt64(after),
+		Wait:       elmkvapi.NewOptInt64(wait.Milliseconds()),
+	}, wait+callTimeout)
+}
+
+func (s *Store) list(ctx context.Context, params elmkvapi.ListInstancesParams, timeout time.Duration) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	roster, err := s.client.ListInstances(ctx)
+	roster, err := s.client.ListInstances(ctx, params)
 	if err != nil {
-		return nil, fmt.Errorf("%w: list instances: %w", ErrUnavailable, err)
+		return List{}, fmt.Errorf("%w: list instances: %w", ErrUnavailable, err)
 	}
-	return roster.Instances, nil
+	return List{Version: roster.Version, Instances: roster.Instances}, nil
 }
 
 func (s *Store) read(ctx context.Context, params elmkvapi.ReadValueParams) (Value, error) {
--- a/internal/stand/elmlocal/elmlocal.go
+++ b/internal/stand/elmlocal/elmlocal.go
@@ -21,6 +21,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,6 +34,7 @@
 
 const (
 	stopTimeout  = 10 * time.Second
+	readyTimeout = 30 * time.Second
 	pollInterval = 50 * time.Millisecond
 	entryLag     = 200
 )
@@ -60,6 +62,13 @@
 	Step time.Duration
 	// Call is the time of one call of a plain service.
 	Call time.Duration
+	// Shared lets all agents of a service use one endpoint process.
+	Shared bool
+	// Warm and Cold are the numbers of requests that an engine bears.
+	Warm int
+	Cold int
+	// Untraced keeps no traces.
+	Untraced bool
 }
 
 // Granite returns the plan of the Granite Ring example.
@@ -76,6 +85,8 @@
 		Plains:      3,
 		Step:        6 * time.Millisecond,
 		Call:        6 * time.Millisecond,
+		Warm:        32,
+		Cold:        2,
 	}
 }
 
@@ -94,6 +105,7 @@
 type Site struct {
 	plan      Plan
 	host      string
+	given     map[string]bool
 	keys      string
 	instances []elmkvapi.Instance
 	mutex     sync.Mutex
@@ -113,6 +125,7 @@
 	s := &Site{
 		plan:      plan,
 		host:      loopback(os.Getpid(), sites.Add(1)),
+		given:     map[string]bool{},
 		keys:      filepath.Join(plan.Folder, "keys"),
 		processes: map[string]*exec.Cmd{},
 		done:      map[string]chan struct{}{},
@@ -204,6 +217,8 @@
 
 // WaitReady waits until each entry is linked to all agents.
 func (s *Site) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
 	for name := range s.Entries {
 		for !s.ready(ctx, name) {
 			select {
@@ -347,11 +362,9 @@
 	if err != nil {
 		return err
 	}
-	step := s.plan.Step.String()
-	if service == s.plan.Plain {
-		step = s.plan.Call.String()
-	}
-	if err := s.start(name+"-endpoint", "elmstand", "-kind", kind, "-http", endpoint, "-step", step); err != nil {
+	if shared := s.sharedEndpoint(service); shared != "" {
+		endpoint = shared
+	} else if err := s.startStand(name+"-endpoint", kind, endpoint); err != nil {
 		return err
 	}
 	settings := s.settings(name, index)
@@ -377,6 +390,29 @@
 	return s.startWithSettings(name, "agent", settings)
 }
 
+// sharedEndpoint returns the address of the endpoint that the agents of a
+// service share, once it has been started.
+func (s *Site) sharedEndpoint(service string) string {
+	if !s.plan.Shared {
+		return ""
+	}
+	for _, e := range s.Endpoints {
+		if e.Service == service {
+			return strings.TrimPrefix(e.URL, "http://")
+		}
+	}
+	return ""
+}
+
+func (s *Site) startStand(name, kind, address string) error {
+	step := s.plan.Step
+	if kind == "service" {
+		step = s.plan.Call
+	}
+	return s.start(name, "elmstand", "-kind", kind, "-http", address, "-step", step.String(),
+		"-warm", strconv.Itoa(s.plan.Warm), "-cold", strconv.Itoa(s.plan.Cold))
+}
+
 func (s *Site) startEntries() error {
 	for i := range s.plan.Entries {
 		address, err := s.freePort("tcp")
@@ -402,15 +438,18 @@
 }
 
 func (s *Site) settings(name string, index int) elmsettings.Settings {
-	return elmsettings.Settings{
+	settings := elmsettings.Settings{
 		Instance:   name,
 		Datacentre: s.plan.Datacentres[index%len(s.plan.Datacentres)],
 		Site:       s.plan.Name,
 		Platform:   s.Platform,
 		Keys:       s.keys,
 		Lag:        entryLag,
-		Traces:     filepath.Join(s.plan.Folder, name+".traces.json"),
 	}
+	if !s.plan.Untraced {
+		settings.Traces = filepath.Join(s.plan.Folder, name+".traces.json")
+	}
+	return settings
 }
 
 func (s *Site) startWithSettings(name, role string, settings elmsettings.Settings) error {
@@ -472,20 +511,32 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+process/size%size, 1+process%size, 1+site%size)
 }
 
-// freePort returns an address of the site whose port is free now.
+// freePort returns an address of the site whose port is free now, and that the
+// site has not given out before.
 func (s *Site) freePort(network string) (string, error) {
+	for {
+		address, err := s.probePort(network)
+		if err != nil {
+			return "", fmt.Errorf("%w: %w", ErrLocal, err)
+		}
+		if !s.given[address] {
+			s.given[address] = true
+			return address, nil
+		}
+	}
+}
+
+func (s *Site) probePort(network string) (string, error) {
 	if network == "udp" {
 		conn, err := net.ListenPacket(network, s.host+":0")
 		if err != nil {
-			return "", fmt.Errorf("%w: %w", ErrLocal, err)
+			return "", err
 		}
-		defer func() { _ = conn.Close() }() // Only the number is wanted.
-		return conn.LocalAddr().String(), nil
+		return conn.LocalAddr().String(), conn.Close()
 	}
 	listener, err := net.Listen(network, s.host+":0")
 	if err != nil {
-		return "", fmt.Errorf("%w: %w", ErrLocal, err)
+		return "", err
 	}
-	defer func() { _ = listener.Close() }() // Only the number is wanted.
-	return listener.Addr().String(), nil
+	return listener.Addr().String(), listener.Close()
 }
--- a/internal/stand/elmlocal/elmlocal_test.go
+++ b/internal/stand/elmlocal/elmlocal_test.go
@@ -73,6 +73,8 @@
 		Plains:      3,
 		Step:        6 * time.Millisecond,
 		Call:        callTime,
+		Warm:        32,
+		Cold:        2,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -86,11 +88,30 @@
 	f := &fixture{T: t, ctx: ctx, site: site, client: client}
 	f.command("apply", "-platform", site.Platform, "-base", granite+"base.json", "-overlay", granite+"overlay.json")
 	if err := site.WaitReady(ctx); err != nil {
-		t.Fatal(err)
+		output, _ := site.Command(ctx, "status", "-platform", site.Platform) // The first error counts.
+		t.Fatal(err, "\n", output, readLogs(t, folder))
 	}
 	return f
 }
 
+// readLogs returns all logs, for a site that does not get ready.
+func readLogs(t *testing.T, folder string) string {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all strings.Builder
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&all, "%s:\n%s\n", filepath.Base(path), text)
+	}
+	return all.String()
+}
+
 func checkLogs(t *testing.T, folder string) {
 	t.Helper()
 	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
--- a/internal/stand/elmplatform/elmplatform.go
+++ b/internal/stand/elmplatform/elmplatform.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -60,6 +61,7 @@
 	values    map[string]entry
 	leases    map[string]time.Time
 	instances []elmkvapi.Instance
+	listed    int64
 	counts    Counts
 	fault     Fault
 	changed   chan struct{}
@@ -102,6 +104,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.instances = instances
+	p.listed++
+	p.notify()
 }
 
 // Counts returns the number of calls so far.
@@ -182,14 +186,26 @@
 }
 
 // ListInstances implements elmkvapi.Handler.
-func (p *Platform) ListInstances(ctx context.Context) (*elmkvapi.Roster, error) {
+func (p *Platform) ListInstances(ctx context.Context, params elmkvapi.ListInstancesParams) (*elmkvapi.Roster, error) {
 	if err := p.delay(ctx); err != nil {
 		return nil, err
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.counts.Lists++
-	return &elmkvapi.Roster{Instances: p.instances}, nil
+	deadline := time.NewTimer(time.Duration(params.Wait.Or(0)) * time.Millisecond)
+	defer deadline.Stop()
+	p.count(func(c *Counts) { c.Lists++ })
+	for {
+		roster, changed := p.roster(params.Datacentre)
+		if !params.After.Set || roster.Version > params.After.Value {
+			return roster, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return &elmkvapi.Roster{Version: roster.Version}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 }
 
 // NewError implements elmkvapi.Handler.
@@ -223,6 +239,25 @@
 	add(&p.counts)
 }
 
+// notify wakes the calls that wait for a change.
+func (p *Platform) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// roster returns the instances of some data centres, or of all.
+func (p *Platform) roster(datacentres []string) (*elmkvapi.Roster, <-chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	roster := &elmkvapi.Roster{Version: p.listed}
+	for _, i := range p.instances {
+		if len(datacentres) == 0 || slices.Contains(datacentres, i.Datacentre) {
+			roster.Instances = append(roster.Instances, i)
+		}
+	}
+	return roster, p.changed
+}
+
 func (p *Platform) present(key string) (*elmkvapi.Value, <-chan struct{}) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -251,8 +286,7 @@
 		e.expires = p.leases[params.Lease.Value]
 	}
 	p.values[params.Key] = e
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.notify()
 	if p.fault == FaultLost {
 		return nil, false, errFault
 	}
--- a/internal/wire/elmkvapi/oas_client_gen.go
+++ b/internal/wire/elmkvapi/oas_client_gen.go
@@ -27,8 +27,10 @@
 	GrantLease(ctx context.Context, params GrantLeaseParams) (*Lease, error)
 	// ListInstances invokes listInstances operation.
 	//
+	// Lists instances, optionally waiting until the list changes.
+	//
 	// GET /instances
-	ListInstances(ctx context.Context) (*Roster, error)
+	ListInstances(ctx context.Context, params ListInstancesParams) (*Roster, error)
 	// ReadValue invokes readValue operation.
 	//
 	// Reads a value, optionally waiting until its version exceeds a known one.
@@ -146,19 +148,84 @@
 
 // ListInstances invokes listInstances operation.
 //
+// Lists instances, optionally waiting until the list changes.
+//
 // GET /instances
-func (c *Client) ListInstances(ctx context.Context) (*Roster, error) {
-	res, err := c.sendListInstances(ctx)
+func (c *Client) ListInstances(ctx context.Context, params ListInstancesParams) (*Roster, error) {
+	res, err := c.sendListInstances(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendListInstances(ctx context.Context) (res *Roster, err error) {
+func (c *Client) sendListInstances(ctx context.Context, params ListInstancesParams) (res *Roster, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [1]string
 	pathParts[0] = "/instances"
 	uri.AddPathParts(u, pathParts[:]...)
 
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "datacentre" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "datacentre",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if params.Datacentre != nil {
+				return e.EncodeArray(func(e uri.Encoder) error {
+					for i, item := range params.Datacentre {
+						if err := func() error {
+							return e.EncodeValue(conv.StringToString(item))
+						}(); err != nil {
+							return errors.Wrapf(err, "[%d]", i)
+						}
+					}
+					return nil
+				})
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "after" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "after",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.After.Get(); ok {
+				return e.EncodeValue(conv.Int64ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "wait" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "wait",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Wait.Get(); ok {
+				return e.EncodeValue(conv.Int64ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
 	r, err := ht.NewRequest(ctx, "GET", u)
 	if err != nil {
 		return res, errors.Wrap(err, "create request")
--- a/internal/wire/elmkvapi/oas_handlers_gen.go
+++ b/internal/wire/elmkvapi/oas_handlers_gen.go
@@ -123,6 +123,8 @@
 
 // handleListInstancesRequest handles listInstances operation.
 //
+// Lists instances, optionally waiting until the list changes.
+//
 // GET /instances
 func (s *Server) handleListInstancesRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
 	statusWriter := &codeRecorder{ResponseWriter: w}
@@ -130,8 +132,22 @@
 	ctx := r.Context()
 
 	var (
-		err error
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListInstancesOperation,
+			ID:   "listInstances",
+		}
 	)
+	params, err := decodeListInstancesParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
 
 	var rawBody []byte
 
@@ -140,17 +156,30 @@
 		mreq := middleware.Request{
 			Context:          ctx,
 			OperationName:    ListInstancesOperation,
-			OperationSummary: "",
+			OperationSummary: "Lists instances, optionally waiting until the list changes.",
 			OperationID:      "listInstances",
 			Body:             nil,
 			RawBody:          rawBody,
-			Params:           middleware.Parameters{},
-			Raw:              r,
+			Params: middleware.Parameters{
+				{
+					Name: "datacentre",
+					In:   "query",
+				}: params.Datacentre,
+				{
+					Name: "after",
+					In:   "query",
+				}: params.After,
+				{
+					Name: "wait",
+					In:   "query",
+				}: params.Wait,
+			},
+			Raw: r,
 		}
 
 		type (
 			Request  = struct{}
-			Params   = struct{}
+			Params   = ListInstancesParams
 			Response = *Roster
 		)
 		response, err = middleware.HookMiddleware[
@@ -160,14 +189,14 @@
 		](
 			m,
 			mreq,
-			nil,
+			unpackListInstancesParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.ListInstances(ctx)
+				response, err = s.h.ListInstances(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.ListInstances(ctx)
+		response, err = s.h.ListInstances(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*FailureStatusCode](err); ok {
--- a/internal/wire/elmkvapi/oas_json_gen.go
+++ b/internal/wire/elmkvapi/oas_json_gen.go
@@ -521,6 +521,10 @@
 
 // encodeFields encodes fields.
 func (s *Roster) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("version")
+		e.Int64(s.Version)
+	}
 	{
 		e.FieldStart("instances")
 		e.ArrStart()
@@ -531,8 +535,9 @@
 	}
 }
 
-var jsonFieldsNameOfRoster = [1]string{
-	0: "instances",
+var jsonFieldsNameOfRoster = [2]string{
+	0: "version",
+	1: "instances",
 }
 
 // Decode decodes Roster from json.
@@ -544,8 +549,20 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "instances":
+		case "version":
 			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int64()
+				s.Version = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "instances":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				s.Instances = make([]Instance, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -572,7 +589,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000001,
+		0b00000011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/wire/elmkvapi/oas_parameters_gen.go
+++ b/internal/wire/elmkvapi/oas_parameters_gen.go
@@ -90,6 +90,183 @@
 	return params, nil
 }
 
+// ListInstancesParams is parameters of listInstances operation.
+type ListInstancesParams struct {
+	// Lists these data centres only.
+	Datacentre []string `json:",omitempty"`
+	// Waits for a version above this one.
+	After OptInt64 `json:",omitempty,omitzero"`
+	// Longest wait in milliseconds.
+	Wait OptInt64 `json:",omitempty,omitzero"`
+}
+
+func unpackListInstancesParams(packed middleware.Parameters) (params ListInstancesParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "datacentre",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Datacentre = v.([]string)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "after",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.After = v.(OptInt64)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "wait",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Wait = v.(OptInt64)
+		}
+	}
+	return params
+}
+
+func decodeListInstancesParams(args [0]string, argsEscaped bool, r *http.Request) (params ListInstancesParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: datacentre.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "datacentre",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				params.Datacentre = nil
+				return d.DecodeArray(func(d uri.Decoder) error {
+					var paramsDotDatacentreVal string
+					if err := func() error {
+						val, err := d.DecodeValue()
+						if err != nil {
+							return err
+						}
+
+						c, err := conv.ToString(val)
+						if err != nil {
+							return err
+						}
+
+						paramsDotDatacentreVal = c
+						return nil
+					}(); err != nil {
+						return err
+					}
+					params.Datacentre = append(params.Datacentre, paramsDotDatacentreVal)
+					return nil
+				})
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "datacentre",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Decode query: after.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "after",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotAfterVal int64
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt64(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotAfterVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.After.SetTo(paramsDotAfterVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "after",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Set default value for query: wait.
+	{
+		val := int64(0)
+		params.Wait.SetTo(val)
+	}
+	// Decode query: wait.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "wait",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotWaitVal int64
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt64(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotWaitVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Wait.SetTo(paramsDotWaitVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "wait",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // ReadValueParams is parameters of readValue operation.
 type ReadValueParams struct {
 	// Waits for a version above this one.
--- a/internal/wire/elmkvapi/oas_router_gen.go
+++ b/internal/wire/elmkvapi/oas_router_gen.go
@@ -307,7 +307,7 @@
 					switch method {
 					case "GET":
 						r.name = ListInstancesOperation
-						r.summary = ""
+						r.summary = "Lists instances, optionally waiting until the list changes."
 						r.operationID = "listInstances"
 						r.operationGroup = ""
 						r.pathPattern = "/instances"
--- a/internal/wire/elmkvapi/oas_schemas_gen.go
+++ b/internal/wire/elmkvapi/oas_schemas_gen.go
@@ -326,14 +326,25 @@
 
 // Ref: #/components/schemas/Roster
 type Roster struct {
+	Version   int64      `json:"version"`
 	Instances []Instance `json:"instances"`
 }
 
+// GetVersion returns the value of Version.
+func (s *Roster) GetVersion() int64 {
+	return s.Version
+}
+
 // GetInstances returns the value of Instances.
 func (s *Roster) GetInstances() []Instance {
 	return s.Instances
 }
 
+// SetVersion sets the value of Version.
+func (s *Roster) SetVersion(val int64) {
+	s.Version = val
+}
+
 // SetInstances sets the value of Instances.
 func (s *Roster) SetInstances(val []Instance) {
 	s.Instances = val
--- a/internal/wire/elmkvapi/oas_server_gen.go
+++ b/internal/wire/elmkvapi/oas_server_gen.go
@@ -14,8 +14,10 @@
 	GrantLease(ctx context.Context, params GrantLeaseParams) (*Lease, error)
 	// ListInstances implements listInstances operation.
 	//
+	// Lists instances, optionally waiting until the list changes.
+	//
 	// GET /instances
-	ListInstances(ctx context.Context) (*Roster, error)
+	ListInstances(ctx context.Context, params ListInstancesParams) (*Roster, error)
 	// ReadValue implements readValue operation.
 	//
 	// Reads a value, optionally waiting until its version exceeds a known one.
--- /dev/null
+++ b/internal/wire/elmlink/dialer.go
@@ -0,0 +1,53 @@
+package elmlink
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+// Dialer dials the links of one entry, which share a UDP socket.
+type Dialer struct {
+	transport *quic.Transport
+	config    *tls.Config
+}
+
+// NewDialer returns a Dialer that sends from a host's address.
+func NewDialer(host string, config *tls.Config) (*Dialer, error) {
+	conn, err := net.ListenPacket("udp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return nil, fmt.Errorf("%w: listen on %s: %w", ErrLink, host, err)
+	}
+	return &Dialer{transport: &quic.Transport{Conn: conn}, config: config}, nil
+}
+
+// Dial connects to the agent at an address.
+func (d *Dialer) Dial(ctx context.Context, address string, hello *elmwire.Hello) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	remote, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrLink, err)
+	}
+	conn, err := d.transport.Dial(ctx, remote, d.config, Settings())
+	if err != nil {
+		return nil, fmt.Errorf("%w: dial %s: %w", ErrLink, address, err)
+	}
+	control, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		_ = conn.CloseWithError(1, "no control stream") // The agent may have gone.
+		return nil, fmt.Errorf("%w: control stream: %w", ErrLink, err)
+	}
+	return greet(conn, control, hello)
+}
+
+// Close ends all links and the socket.
+func (d *Dialer) Close() {
+	_ = d.transport.Close()      // The links are over.
+	_ = d.transport.Conn.Close() // The socket is no longer used.
+}
--- a/internal/wire/elmlink/elmlink.go
+++ b/internal/wire/elmlink/elmlink.go
@@ -5,7 +5,8 @@
 //
 // # Usage
 //
-//	link, err := elmlink.Dial(ctx, "127.0.0.1:7001", keys.Client(), hello)
+//	dialer, err := elmlink.NewDialer("127.0.0.1", keys.Client())
+//	link, err := dialer.Dial(ctx, "127.0.0.1:7001", hello)
 //	stream, err := link.Open(ctx)
 //	err = elmlink.Write(stream, open)
 package elmlink
@@ -13,7 +14,6 @@
 import (
 	"bufio"
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -58,21 +58,6 @@
 	mutex   sync.Mutex
 }
 
-// Dial connects an entry to the agent at an address.
-func Dial(ctx context.Context, address string, config *tls.Config, hello *elmwire.Hello) (*Link, error) {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	conn, err := quic.DialAddr(ctx, address, config, Settings())
-	if err != nil {
-		return nil, fmt.Errorf("%w: dial %s: %w", ErrLink, address, err)
-	}
-	control, err := conn.OpenStreamSync(ctx)
-	if err != nil {
-		return nil, fmt.Errorf("%w: control stream: %w", ErrLink, err)
-	}
-	return greet(conn, control, hello)
-}
-
 // Accept takes over a connection that an entry has dialled.
 func Accept(ctx context.Context, conn *quic.Conn, hello *elmwire.Hello) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
@@ -90,6 +75,7 @@
 		MaxIdleTimeout:                 idleTimeout,
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
+		DisablePathMTUDiscovery:        true,
 		InitialStreamReceiveWindow:     streamWindow,
 		InitialConnectionReceiveWindow: linkWindow,
 	}
