--- a/cmd/elmcapacity/measure.go
+++ b/cmd/elmcapacity/measure.go
@@ -173,7 +173,7 @@
 // measureRequests measures the latency that entry and agent add, and what a
 // request costs them.
 func (m *meter) measureRequests() error {
-	fmt.Printf("\n## Requests, by rate\n\nOne entry, one agent, %d tokens each, against the same engine asked directly in the same run, %s each.\n\n", tokens, loadTime)
+	fmt.Printf("\n## Requests, by rate\n\nOne entry, one agent, %d tokens each, against the same engine asked directly in the same run, %s each after a warm-up at the same rate.\n\n", tokens, loadTime)
 	fmt.Print("| requests/s | direct: first byte p50, p99, ms | through elmcove: p50, p99, ms | added p50, p99, ms | entry: µs a request | agent: µs a request | whole |\n| --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, rate := range []int{10, 100, 400} {
 		if err := m.measureRate(rate); err != nil {
@@ -191,8 +191,9 @@
 	defer stop()
 	client := elmclient.New("curb-secret")
 	defer client.Close()
-	m.load(client, site.EntryURL("entry-1"), 100, warmUp)
+	m.load(client, site.EntryURL("entry-1"), rate, warmUp)
 	direct := m.load(client, site.Endpoints[0].URL, rate, loadTime)
+	m.load(client, site.EntryURL("entry-1"), rate, warmUp)
 	entryBefore, err := readUsage(site.ProcessID("entry-1"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/limit/elmgate/elmgate_test.go
@@ -0,0 +1,72 @@
+package elmgate_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/limit/elmcredit"
+	"github.com/elmcove/elmcove/internal/limit/elmgate"
+)
+
+func TestGate(t *testing.T) {
+	tests := map[string]func(t *testing.T, g *elmgate.Gate){
+		"full without patience": func(t *testing.T, g *elmgate.Gate) {
+			if err := g.Enter(t.Context(), 0); !errors.Is(err, elmcredit.ErrFull) {
+				t.Error(err)
+			}
+		},
+		"place comes free": func(t *testing.T, g *elmgate.Gate) {
+			time.AfterFunc(50*time.Millisecond, g.Leave)
+			if err := g.Enter(t.Context(), 100*time.Millisecond); err != nil {
+				t.Error(err)
+			}
+		},
+		"place comes too late": func(t *testing.T, g *elmgate.Gate) {
+			time.AfterFunc(150*time.Millisecond, g.Leave)
+			if err := g.Enter(t.Context(), 100*time.Millisecond); !errors.Is(err, elmcredit.ErrFull) {
+				t.Error(err)
+			}
+			time.Sleep(time.Second)
+			if g.Demand() != 0 {
+				t.Error("a place was given to one who had left")
+			}
+		},
+		"limit rises": func(t *testing.T, g *elmgate.Gate) {
+			time.AfterFunc(50*time.Millisecond, func() { g.SetLimit(2, 2) })
+			if err := g.Enter(t.Context(), 100*time.Millisecond); err != nil {
+				t.Error(err)
+			}
+		},
+		"caller leaves": func(t *testing.T, g *elmgate.Gate) {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			if err := g.Enter(ctx, time.Second); !errors.Is(err, context.DeadlineExceeded) {
+				t.Error(err)
+			}
+		},
+		"too many wait": func(t *testing.T, g *elmgate.Gate) {
+			for range 2 {
+				go func() { _ = g.Enter(t.Context(), time.Second) }()
+			}
+			synctest.Wait()
+			if err := g.Enter(t.Context(), time.Second); !errors.Is(err, elmcredit.ErrFull) {
+				t.Error(err)
+			}
+			time.Sleep(2 * time.Second)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := elmgate.New(1)
+				if err := g.Enter(t.Context(), 0); err != nil {
+					t.Fatal(err)
+				}
+				test(t, g)
+			})
+		})
+	}
+}
--- a/internal/limit/elmwarmth/elmwarmth.go
+++ b/internal/limit/elmwarmth/elmwarmth.go
@@ -1,8 +1,8 @@
 // Package elmwarmth learns how many requests an endpoint can bear at once from
 // the times that it takes for its steps and from its load reports, which lag.
 //
-// A limit starts at one request, as for an endpoint in cold start. It rises by
-// one for each round of steps that kept the goal while the demand, that is the
+// A limit starts at one request, as for an endpoint in cold start. It rises
+// after each round of steps that kept the goal while the demand, that is the
 // requests that ran and those that were refused, came near the limit. A limit
 // never exceeds the capacity that the endpoint reports, and a report that was
 // measured before the endpoint turned cold raises nothing.
@@ -165,11 +165,20 @@
 	if float64(demand) < busyShare*float64(l.Learned()) || !l.mayRise(now) {
 		return l
 	}
-	l.learned = min(float64(l.Learned()+1), float64(l.highest()))
+	l.learned = min(float64(l.Learned()+l.rise()), float64(l.highest()))
 	l.rose = now
 	return l
 }
 
+// rise returns by how much the limit rises: twofold while the steps keep well
+// within the goal and reports bound the limit, and otherwise by one.
+func (l Limit) rise() int {
+	if l.reports() && l.average < l.goal/2 {
+		return l.Learned()
+	}
+	return 1
+}
+
 // mayRise reports whether a rise is due: at once on a report that was measured
 // since the endpoint was last idle, and slowly without reports.
 func (l Limit) mayRise(now time.Time) bool {
--- a/internal/wire/elmlink/dialer.go
+++ b/internal/wire/elmlink/dialer.go
@@ -19,7 +19,7 @@
 
 // NewDialer returns a Dialer that sends from a host's address.
 func NewDialer(host string, config *tls.Config) (*Dialer, error) {
-	conn, err := net.ListenPacket("udp", net.JoinHostPort(host, "0"))
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(host)})
 	if err != nil {
 		return nil, fmt.Errorf("%w: listen on %s: %w", ErrLink, host, err)
 	}
