Spread changes by differences, and start an entry during an outage

And an entry that started while the platform was out knew neither agents nor configuration.

Links carry the patches that the other side lacks, and the full document to one that is too far behind. An entry's settings may name some agents of its data centre, which tell it their service and the configuration.

Weighed: one key a change (more calls for each watcher), and structured differences (smaller still, but a format of our own).

--- a/cmd/elmcapacity/main.go
+++ b/cmd/elmcapacity/main.go
@@ -33,7 +33,7 @@
 	m := &meter{ctx: ctx, bin: bin}
 	fmt.Print("# Measured slopes\n\nThis page is written by `make capacity`. ")
 	fmt.Printf("Machine: %s.\n\n", machine())
-	steps := []func() error{m.measureAgents, m.measureEntries, m.measureWorkspaces, m.measureRequests, m.measureClaims}
+	steps := []func() error{m.measureAgents, m.measureEntries, m.measureWorkspaces, m.measureChanges, m.measureRequests, m.measureClaims}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
--- a/cmd/elmcapacity/measure.go
+++ b/cmd/elmcapacity/measure.go
@@ -24,6 +24,10 @@
 	warmUp   = 2 * time.Second
 	loadTime = 5 * time.Second
 	tokens   = 20
+	// changeAgents and changeCount are the size of the measure of changes.
+	changeAgents = 16
+	changeCount  = 30
+	changePause  = 100 * time.Millisecond
 	// engineStep is the time of one step of the engine that is asked.
 	engineStep = 5 * time.Millisecond
 )
@@ -170,6 +174,79 @@
 	return config.Encode()
 }
 
+// measureChanges measures what a change of the configuration costs a watching
+// entry, the agents, and the network, by workspaces.
+func (m *meter) measureChanges() error {
+	fmt.Printf("\n## Changes, by workspaces\n\nOne entry that watches, %d agents, %d changes in a row.\n\n", changeAgents, changeCount)
+	fmt.Print("| workspaces | entry: ms of processor a change | agent: ms of processor a change | bytes a change, all links and the platform |\n| --- | --- | --- | --- |\n")
+	for _, count := range []int{100, 500, 1900} {
+		if err := m.measureChange(count); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *meter) measureChange(workspaces int) error {
+	site, stop, err := m.start(1, 0, changeAgents, time.Millisecond)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	document, err := sampleDocument(workspaces)
+	if err != nil {
+		return err
+	}
+	file, err := os.CreateTemp("", "elmcapacity-*.json")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(file.Name()) }() // A leftover file does no harm.
+	if _, err := file.Write(document); err != nil {
+		return err
+	}
+	if _, err := site.Command(m.ctx, "apply", "-platform", site.Platform, "-base", file.Name(), "-reset"); err != nil {
+		return err
+	}
+	pause(m.ctx, warmUp)
+	entryBefore, err := readUsage(site.ProcessID("entry-1"))
+	if err != nil {
+		return err
+	}
+	agentBefore, err := readUsage(site.ProcessID("dispatch-1"))
+	if err != nil {
+		return err
+	}
+	operators := 0
+	for i := range changeCount {
+		before, err := receivedOctets()
+		if err != nil {
+			return err
+		}
+		if _, err := site.Command(m.ctx, "drain", "-platform", site.Platform, fmt.Sprintf("dispatch-%d", 100+i)); err != nil {
+			return err
+		}
+		after, err := receivedOctets()
+		if err != nil {
+			return err
+		}
+		operators += after - before
+		pause(m.ctx, changePause)
+	}
+	entryAfter, err := readUsage(site.ProcessID("entry-1"))
+	if err != nil {
+		return err
+	}
+	agentAfter, err := readUsage(site.ProcessID("dispatch-1"))
+	if err != nil {
+		return err
+	}
+	spread := entryAfter.octets - entryBefore.octets - operators
+	fmt.Printf("| %d | %.2f | %.2f | %d |\n", workspaces,
+		milliseconds(entryAfter.cpu-entryBefore.cpu)/changeCount, milliseconds(agentAfter.cpu-agentBefore.cpu)/changeCount, spread/changeCount)
+	return nil
+}
+
 // measureRequests measures the latency that entry and agent add, and what a
 // request costs them.
 func (m *meter) measureRequests() error {
--- a/internal/agent/elmagent/elmagent.go
+++ b/internal/agent/elmagent/elmagent.go
@@ -204,6 +204,9 @@
 // adopt takes over a configuration that is newer than the present one.
 func (a *Agent) adopt(update *elmwire.Update) {
 	adopted, err := a.holder.Adopt(update)
+	if errors.Is(err, elmholder.ErrGap) {
+		return // The entry sees the revision that is held, and sends more.
+	}
 	if err != nil {
 		a.logger.Event(elmlog.ConfigRefused, "revision", update.GetRevision(), "error", err)
 		return
--- a/internal/agent/elmagent/links.go
+++ b/internal/agent/elmagent/links.go
@@ -43,7 +43,8 @@
 		Instance:    a.settings.Instance,
 		Datacentre:  a.settings.Datacentre,
 		Incarnation: a.incarnation,
-		Revision:    a.holder.Config().Revision(),
+		Revision:    a.holder.Revision(),
+		Service:     a.settings.Service,
 	}
 }
 
@@ -84,9 +85,8 @@
 // configuration is old.
 func (a *Agent) heed(link *elmlink.Link, want *elmwire.Want) {
 	a.gate.SetWant(link.Peer().GetInstance(), int(want.GetWindow()))
-	update := a.holder.Update()
-	if want.GetRevision() < update.GetRevision() {
-		_ = link.Send(&elmwire.Control{Kind: &elmwire.Control_Update{Update: update}}) // A lost link ends itself.
+	for _, u := range a.holder.Since(want.GetRevision()) {
+		_ = link.Send(&elmwire.Control{Kind: &elmwire.Control_Update{Update: u}}) // A lost link ends itself.
 	}
 	a.grant(link)
 }
@@ -109,7 +109,7 @@
 		Running:    uint32(pool.Running()),
 		Limit:      uint32(pool.Shared()),
 		Leaving:    !a.takesLocked(),
-		Revision:   a.holder.Config().Revision(),
+		Revision:   a.holder.Revision(),
 		Closing:    a.leaving,
 	}
 	if !grant.GetLeaving() {
--- a/internal/command/elmcommand/operators.go
+++ b/internal/command/elmcommand/operators.go
@@ -89,7 +89,6 @@
 			t.site = wanted.Site
 			return change(ctx, &t, "apply "+base+" "+overlay, func(present elmconfig.Config) (elmconfig.Config, error) {
 				if reset {
-					wanted.Changes = present.Changes
 					return wanted, nil
 				}
 				return wanted.WithStates(present), nil
@@ -142,12 +141,12 @@
 			if err != nil {
 				return err
 			}
-			config, err := site.Config(ctx)
+			changes, err := site.History(ctx)
 			if err != nil {
 				return err
 			}
-			return t.print(config.Changes, func(w *tabwriter.Writer) {
-				for _, c := range config.Changes {
+			return t.print(changes, func(w *tabwriter.Writer) {
+				for _, c := range changes {
 					fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", c.Revision, c.Time.Format("2006-01-02 15:04:05"), c.Operator, c.Text, c.ID)
 				}
 			})
--- a/internal/config/elmconfig/elmconfig.go
+++ b/internal/config/elmconfig/elmconfig.go
@@ -33,8 +33,6 @@
 	defaultBytes       = 1 << 20
 	defaultTime        = 2 * time.Minute
 
-	maxChanges = 20
-
 	// StateIn means that a data centre receives new work.
 	StateIn = "in"
 	// StateOut means that a data centre receives no new work.
@@ -83,9 +81,9 @@
 	Services    map[string]Service    `json:"services"`
 	Workspaces  map[string]Workspace  `json:"workspaces"`
 	Drained     []string              `json:"drained,omitempty"`
-	// Changes are the last changes, the newest last. They are not part of
-	// the operators' files.
-	Changes []Change `json:"changes,omitempty"`
+	// Change is the change that led here. It is not part of the operators'
+	// files.
+	Change *Change `json:"change,omitempty"`
 
 	revision    uint64
 	document    []byte
@@ -153,15 +151,14 @@
 	return c
 }
 
-// WithChange returns a copy that ends its list of changes with another.
+// WithChange returns a copy that a change led to.
 func (c Config) WithChange(change Change) Config {
-	c.Changes = append(slices.Clone(c.Changes), change)
-	c.Changes = c.Changes[max(len(c.Changes)-maxChanges, 0):]
+	c.Change = &change
 	return c
 }
 
 // WithStates returns a copy that takes over from another configuration which
-// data centres are out, which endpoints are drained, and the past changes.
+// data centres are out and which endpoints are drained.
 func (c Config) WithStates(other Config) Config {
 	c.Datacentres = maps.Clone(c.Datacentres)
 	for name := range c.Datacentres {
@@ -170,7 +167,6 @@
 		}
 	}
 	c.Drained = other.Drained
-	c.Changes = other.Changes
 	return c
 }
 
--- a/internal/config/elmholder/elmholder.go
+++ b/internal/config/elmholder/elmholder.go
@@ -1,25 +1,38 @@
-// Package elmholder holds the newest configuration that a process knows. It
-// never goes back to an older revision.
+// Package elmholder holds the newest configuration that a process knows, and
+// the last changes that led to it. It never goes back to an older revision.
 //
 // # Usage
 //
 //	holder := elmholder.New()
 //	adopted, err := holder.Adopt(update)
 //	config := holder.Config()
+//	for _, update := range holder.Since(neighbour) {
+//		send(update)
+//	}
 package elmholder
 
 import (
+	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 
 	"github.com/elmcove/elmcove/internal/config/elmconfig"
+	"github.com/elmcove/elmcove/internal/config/elmjournal"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
+// maxRecent is the number of changes that are kept for neighbours.
+const maxRecent = 64
+
+// ErrGap reports a change to a revision that the process does not hold.
+var ErrGap = errors.New("configuration change does not follow the present revision")
+
 // Holder holds a configuration. It is safe for concurrent use.
 type Holder struct {
 	mutex   sync.Mutex
 	present atomic.Pointer[elmconfig.Config]
+	recent  []*elmwire.Update
 }
 
 // New returns a Holder with an empty configuration at revision 0.
@@ -34,10 +47,26 @@
 	return *h.present.Load()
 }
 
-// Update returns the present configuration as a message for neighbours.
-func (h *Holder) Update() *elmwire.Update {
+// Revision returns the present revision.
+func (h *Holder) Revision() uint64 {
+	return h.present.Load().Revision()
+}
+
+// Since returns what brings a neighbour from a revision to the present one:
+// the changes since, or the full document if they are no longer kept.
+func (h *Holder) Since(revision uint64) []*elmwire.Update {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
 	config := h.Config()
-	return &elmwire.Update{Revision: config.Revision(), Document: config.Document()}
+	if revision >= config.Revision() {
+		return nil
+	}
+	for i, u := range h.recent {
+		if u.GetBase() == revision {
+			return h.recent[i:len(h.recent):len(h.recent)]
+		}
+	}
+	return []*elmwire.Update{{Revision: config.Revision(), Document: config.Document()}}
 }
 
 // Adopt takes over a configuration if it is newer than the present one, and
@@ -45,14 +74,38 @@
 func (h *Holder) Adopt(update *elmwire.Update) (bool, error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if update.GetRevision() <= h.Config().Revision() {
+	if update.GetRevision() <= h.Revision() {
 		return false, nil
 	}
-	config, err := elmconfig.Decode(update.GetDocument())
+	document, err := h.document(update)
+	if err != nil {
+		return false, err
+	}
+	config, err := elmconfig.Decode(document)
 	if err != nil {
 		return false, err
 	}
 	config = config.WithRevision(update.GetRevision())
 	h.present.Store(&config)
+	h.remember(update)
 	return true, nil
 }
+
+// document returns the full document of an update.
+func (h *Holder) document(update *elmwire.Update) ([]byte, error) {
+	if update.GetBase() == 0 {
+		return update.GetDocument(), nil
+	}
+	if update.GetBase() != h.Revision() {
+		return nil, fmt.Errorf("%w: from %d, at %d", ErrGap, update.GetBase(), h.Revision())
+	}
+	return elmjournal.Apply(h.Config().Document(), update.GetDocument())
+}
+
+func (h *Holder) remember(update *elmwire.Update) {
+	if update.GetBase() == 0 {
+		h.recent = nil
+		return
+	}
+	h.recent = append(h.recent[max(len(h.recent)-maxRecent+1, 0):len(h.recent):len(h.recent)], update)
+}
--- a/internal/config/elmsettings/elmsettings.go
+++ b/internal/config/elmsettings/elmsettings.go
@@ -47,6 +47,9 @@
 	// Datacentres names the data centres whose agents an entry is linked to.
 	// It is linked to all if none is named.
 	Datacentres []string `json:"datacentres,omitempty"`
+	// Neighbours are link addresses of agents in the data centre, for an
+	// entry that starts while the platform is out of reach.
+	Neighbours []string `json:"neighbours,omitempty"`
 	// Link is the address on which an agent accepts links.
 	Link string `json:"link,omitempty"`
 	// Service names the service of an agent's endpoint.
--- a/internal/config/elmsite/elmsite.go
+++ b/internal/config/elmsite/elmsite.go
@@ -2,8 +2,8 @@
 // entries how far a change has come.
 //
 // A change is written by compare-and-swap, so that of two operators at once
-// one gets a Conflict. The list of changes in the document bears the change's
-// own identifier, by which a lost reply is resolved.
+// one gets a Conflict. The document bears the change's own identifier, by which
+// a lost reply is resolved.
 //
 // # Usage
 //
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/config/elmconfig"
+	"github.com/elmcove/elmcove/internal/config/elmjournal"
 	"github.com/elmcove/elmcove/internal/entry/elmentry"
 	"github.com/elmcove/elmcove/internal/entry/elmledger"
 	"github.com/elmcove/elmcove/internal/platform/elmstore"
@@ -77,33 +78,46 @@
 
 // Config returns the accepted configuration, which is empty before the first.
 func (s *Site) Config(ctx context.Context) (elmconfig.Config, error) {
-	value, err := s.store.Read(ctx, elmentry.ConfigKey(s.name))
+	present, err := s.read(ctx)
+	return present.config, err
+}
+
+// History returns the last accepted changes, the newest last.
+func (s *Site) History(ctx context.Context) ([]elmconfig.Change, error) {
+	present, err := s.read(ctx)
 	if err != nil {
-		return elmconfig.Config{}, err
+		return nil, err
 	}
-	if value.Version == 0 {
-		return elmconfig.Config{}, nil
+	var changes []elmconfig.Change
+	if first := present.full.Change; first != nil {
+		changes = append(changes, *first)
 	}
-	config, err := elmconfig.Decode(value.Data)
-	return config.WithRevision(uint64(value.Version)), err
+	for _, p := range present.journal.Patches {
+		change, err := patchChange(p)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
 }
 
 // Change makes a change to the accepted configuration.
 func (s *Site) Change(ctx context.Context, change elmconfig.Change, edit Edit) (elmconfig.Change, error) {
-	present, err := s.Config(ctx)
+	present, err := s.read(ctx)
 	if err != nil {
 		return change, err
 	}
-	wanted, err := edit(present)
+	wanted, err := edit(present.config)
 	if err != nil {
 		return change, err
 	}
-	change.Revision = present.Revision() + 1
-	document, err := wanted.WithChange(change).Encode()
+	change.Revision = present.config.Revision() + 1
+	journal, err := s.next(ctx, present, wanted.WithChange(change))
 	if err != nil {
 		return change, err
 	}
-	result, err := s.store.Swap(ctx, elmentry.ConfigKey(s.name), int64(present.Revision()), document)
+	result, err := s.store.Swap(ctx, elmentry.ConfigKey(s.name), int64(present.config.Revision()), journal)
 	if err != nil {
 		return change, err
 	}
@@ -113,6 +127,74 @@
 	return change, nil
 }
 
+// accepted is a journal and the documents that it leads from and to.
+type accepted struct {
+	journal elmjournal.Journal
+	full    elmconfig.Config
+	config  elmconfig.Config
+}
+
+func (s *Site) read(ctx context.Context) (accepted, error) {
+	value, err := s.store.Read(ctx, elmentry.ConfigKey(s.name))
+	if err != nil || value.Version == 0 {
+		return accepted{}, err
+	}
+	journal, err := elmjournal.Decode(value.Data)
+	if err != nil {
+		return accepted{}, err
+	}
+	full, err := s.store.Read(ctx, journal.Key)
+	if err != nil {
+		return accepted{}, err
+	}
+	document, err := journal.Replay(full.Data)
+	if err != nil {
+		return accepted{}, err
+	}
+	a := accepted{journal: journal}
+	if a.full, err = elmconfig.Decode(full.Data); err != nil {
+		return accepted{}, err
+	}
+	if a.config, err = elmconfig.Decode(document); err != nil {
+		return accepted{}, err
+	}
+	a.config = a.config.WithRevision(uint64(value.Version))
+	return a, nil
+}
+
+// next returns the journal with a change. A full journal starts again at a new
+// full document, which is written first under a key of its own.
+func (s *Site) next(ctx context.Context, present accepted, wanted elmconfig.Config) ([]byte, error) {
+	document, err := wanted.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if !present.journal.Full() {
+		journal, err := present.journal.WithChange(present.config.Document(), document)
+		if err != nil {
+			return nil, err
+		}
+		return journal.Encode()
+	}
+	key := elmentry.ConfigKey(s.name) + ":" + wanted.Change.ID
+	if _, err := s.store.Swap(ctx, key, 0, document); err != nil {
+		return nil, err
+	}
+	return elmjournal.New(wanted.Change.Revision, key).Encode()
+}
+
+// patchChange returns the description of a change.
+func patchChange(p elmjournal.Patch) (elmconfig.Change, error) {
+	var body struct {
+		Change elmconfig.Change `json:"change"`
+	}
+	if err := json.Unmarshal(p.Body, &body); err != nil {
+		return elmconfig.Change{}, fmt.Errorf("%w: change at revision %d: %w", ErrSite, p.Revision, err)
+	}
+	body.Change.Revision = p.Revision
+	return body.Change, nil
+}
+
 // Status asks all live entries for their status. Entries that do not answer
 // are left out.
 func (s *Site) Status(ctx context.Context) ([]elmentry.Status, error) {
@@ -207,14 +289,18 @@
 	return nil
 }
 
-func conflict(document []byte) error {
-	theirs, err := elmconfig.Decode(document)
+// conflict describes the change that was accepted first.
+func conflict(data []byte) error {
+	journal, err := elmjournal.Decode(data)
 	if err != nil {
 		return err
 	}
-	c := &Conflict{}
-	if n := len(theirs.Changes); n > 0 {
-		c.Theirs = theirs.Changes[n-1]
+	c := &Conflict{Theirs: elmconfig.Change{Revision: journal.Newest(), Text: "full document"}}
+	if n := len(journal.Patches); n > 0 {
+		c.Theirs, err = patchChange(journal.Patches[n-1])
+	}
+	if err != nil {
+		return err
 	}
 	return c
 }
--- a/internal/entry/elmentry/follow.go
+++ b/internal/entry/elmentry/follow.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/config/elmholder"
+	"github.com/elmcove/elmcove/internal/config/elmjournal"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -22,6 +26,7 @@
 // followRoster keeps the links as the platform's instance list says.
 func (e *Entry) followRoster(ctx context.Context) {
 	version := int64(-1)
+	e.fleet.Follow(ctx, e.neighbours())
 	for {
 		version = e.refreshRoster(ctx, version)
 		if !rest(ctx, retryInterval) {
@@ -30,6 +35,17 @@
 	}
 }
 
+// neighbours returns the agents that the settings name by their addresses. An
+// entry that starts while the platform is out of reach serves with them, and
+// learns the configuration from them.
+func (e *Entry) neighbours() []elmkvapi.Instance {
+	agents := make([]elmkvapi.Instance, 0, len(e.settings.Neighbours))
+	for _, address := range e.settings.Neighbours {
+		agents = append(agents, elmkvapi.Instance{Name: address, Address: address})
+	}
+	return agents
+}
+
 // refreshRoster takes in the platform's next list, and returns its version. A
 // list that is not believed is asked for again.
 func (e *Entry) refreshRoster(ctx context.Context, version int64) int64 {
@@ -58,15 +74,15 @@
 	down := false
 	for {
 		value, err := e.readConfig(ctx, key)
+		if err == nil {
+			err = e.takeJournal(ctx, value)
+		}
 		if (err != nil) != down {
 			down = err != nil
 			e.reportStore(err)
 		}
-		pause := time.Duration(0)
-		if err != nil {
-			pause = retryInterval
-		} else {
-			e.Adopt(&elmwire.Update{Revision: uint64(value.Version), Document: value.Data})
+		pause := retryInterval
+		if err == nil {
 			pause = e.configPause()
 		}
 		if !rest(ctx, pause) {
@@ -111,6 +127,9 @@
 // Adopt implements elmfleet.Holder.
 func (e *Entry) Adopt(update *elmwire.Update) {
 	adopted, err := e.holder.Adopt(update)
+	if errors.Is(err, elmholder.ErrGap) {
+		return // The neighbour sees the revision that is held, and sends more.
+	}
 	if err != nil {
 		e.logger.Event(elmlog.ConfigRefused, "revision", update.GetRevision(), "error", err)
 		return
@@ -121,9 +140,37 @@
 	}
 }
 
-// Update implements elmfleet.Holder.
-func (e *Entry) Update() *elmwire.Update {
-	return e.holder.Update()
+// takeJournal takes in the changes of a journal, and its full document first
+// if the entry is older than that.
+func (e *Entry) takeJournal(ctx context.Context, value elmstore.Value) error {
+	if uint64(value.Version) <= e.holder.Revision() {
+		return nil
+	}
+	journal, err := elmjournal.Decode(value.Data)
+	if err != nil {
+		return err
+	}
+	if e.holder.Revision() < journal.Revision {
+		full, err := e.store.Read(ctx, journal.Key)
+		if err != nil {
+			return err
+		}
+		e.Adopt(&elmwire.Update{Revision: journal.Revision, Document: full.Data})
+	}
+	for _, p := range journal.Patches {
+		e.Adopt(&elmwire.Update{Revision: p.Revision, Base: p.Revision - 1, Document: p.Body})
+	}
+	return nil
+}
+
+// Revision implements elmfleet.Holder.
+func (e *Entry) Revision() uint64 {
+	return e.holder.Revision()
+}
+
+// Since implements elmfleet.Holder.
+func (e *Entry) Since(revision uint64) []*elmwire.Update {
+	return e.holder.Since(revision)
 }
 
 // ConfigKey returns the key under which a site's configuration is kept.
--- a/internal/entry/elmfleet/elmfleet.go
+++ b/internal/entry/elmfleet/elmfleet.go
@@ -42,8 +42,10 @@
 
 // Holder holds the configuration that links pass on.
 type Holder interface {
-	// Update returns the newest configuration that the process holds.
-	Update() *elmwire.Update
+	// Revision returns the newest revision that the process holds.
+	Revision() uint64
+	// Since returns what brings a neighbour from a revision to that one.
+	Since(revision uint64) []*elmwire.Update
 	// Adopt takes in a configuration that a neighbour holds.
 	Adopt(update *elmwire.Update)
 }
@@ -100,7 +102,7 @@
 	defer f.mutex.Unlock()
 	var candidates []elmpicker.Candidate
 	for name, m := range f.members {
-		if m.instance.Service.Value != service || slices.Contains(tried, name) {
+		if !m.serves(service) || slices.Contains(tried, name) {
 			continue
 		}
 		if c, ok := m.candidate(); ok {
@@ -116,18 +118,6 @@
 	return candidates
 }
 
-// Serves reports whether any endpoint of a service is known.
-func (f *Fleet) Serves(service string) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for _, m := range f.members {
-		if m.instance.Service.Value == service {
-			return true
-		}
-	}
-	return false
-}
-
 // Call sends a request to an agent.
 func (f *Fleet) Call(ctx context.Context, agent string, open *elmwire.Open) (*Call, error) {
 	f.mutex.Lock()
@@ -183,7 +173,13 @@
 }
 
 func (f *Fleet) start(ctx context.Context, instance elmkvapi.Instance) *member {
-	m := &member{fleet: f, instance: instance, retired: make(chan struct{})}
+	m := &member{
+		fleet:      f,
+		instance:   instance,
+		datacentre: instance.Datacentre,
+		service:    instance.Service.Value,
+		retired:    make(chan struct{}),
+	}
 	f.done.Go(func() { m.run(ctx) })
 	return m
 }
@@ -193,7 +189,7 @@
 		Instance:    f.hello.GetInstance(),
 		Datacentre:  f.hello.GetDatacentre(),
 		Incarnation: f.hello.GetIncarnation(),
-		Revision:    f.holder.Update().GetRevision(),
+		Revision:    f.holder.Revision(),
 	}
 	return f.dialer.Dial(ctx, address, hello)
 }
--- a/internal/entry/elmfleet/member.go
+++ b/internal/entry/elmfleet/member.go
@@ -33,6 +33,8 @@
 	once     sync.Once
 
 	mutex       sync.Mutex
+	datacentre  string
+	service     string
 	link        *elmlink.Link
 	grant       *elmwire.Grant
 	expires     time.Time
@@ -71,6 +73,7 @@
 func (m *member) serve(ctx context.Context, link *elmlink.Link) {
 	m.fleet.logger.Event(elmlog.LinkUp, "agent", m.instance.Name)
 	m.setLink(link)
+	m.learn(link.Peer())
 	go m.receive(link)
 	m.converse(ctx, link)
 	m.setLink(nil)
@@ -78,6 +81,22 @@
 	m.fleet.logger.Event(elmlog.LinkDown, "agent", m.instance.Name)
 }
 
+// learn takes over what the agent says of itself. An agent that is known by
+// its address alone has no more than that.
+func (m *member) learn(peer *elmwire.Hello) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.datacentre = peer.GetDatacentre()
+	m.service = peer.GetService()
+}
+
+// serves reports whether the agent's endpoint offers a service.
+func (m *member) serves(service string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.service == service
+}
+
 // converse tells the agent what the entry wants until the link ends. It ends
 // an idle link to an agent that is retired or leaving for good.
 func (m *member) converse(ctx context.Context, link *elmlink.Link) {
@@ -125,14 +144,15 @@
 }
 
 func (m *member) announce() {
-	update := m.fleet.holder.Update()
 	m.mutex.Lock()
 	link, grant := m.link, m.grant
 	m.mutex.Unlock()
-	if link == nil || grant == nil || grant.GetRevision() >= update.GetRevision() {
+	if link == nil || grant == nil {
 		return
 	}
-	_ = link.Send(&elmwire.Control{Kind: &elmwire.Control_Update{Update: update}}) // A lost link ends itself.
+	for _, u := range m.fleet.holder.Since(grant.GetRevision()) {
+		_ = link.Send(&elmwire.Control{Kind: &elmwire.Control_Update{Update: u}}) // A lost link ends itself.
+	}
 }
 
 func (m *member) sendWant(link *elmlink.Link) {
@@ -140,7 +160,7 @@
 	window := m.peak + spareWindow
 	m.peak = m.outstanding
 	m.mutex.Unlock()
-	want := &elmwire.Want{Window: uint32(window), Revision: m.fleet.holder.Update().GetRevision()}
+	want := &elmwire.Want{Window: uint32(window), Revision: m.fleet.holder.Revision()}
 	_ = link.Send(&elmwire.Control{Kind: &elmwire.Control_Want{Want: want}}) // A lost link ends itself.
 }
 
@@ -176,7 +196,7 @@
 	}
 	c := elmpicker.Candidate{
 		Agent:      m.instance.Name,
-		Datacentre: m.instance.Datacentre,
+		Datacentre: m.datacentre,
 		Running:    max(int(m.grant.GetRunning()), m.outstanding),
 		Limit:      int(m.grant.GetLimit()),
 	}
@@ -196,8 +216,8 @@
 	defer m.mutex.Unlock()
 	return Status{
 		Agent:       m.instance.Name,
-		Datacentre:  m.instance.Datacentre,
-		Service:     m.instance.Service.Value,
+		Datacentre:  m.datacentre,
+		Service:     m.service,
 		Linked:      m.link != nil,
 		Leaving:     m.grant.GetLeaving(),
 		Window:      int(m.grant.GetWindow()),
--- a/internal/stand/elmlocal/elmlocal.go
+++ b/internal/stand/elmlocal/elmlocal.go
@@ -422,6 +422,7 @@
 		name := entryName(i)
 		settings := s.settings(name, i)
 		settings.HTTP = address
+		settings.Neighbours = s.links(settings.Datacentre)
 		s.Entries[name] = address
 		s.instances = append(s.instances, elmkvapi.Instance{
 			Name:       name,
@@ -437,6 +438,17 @@
 	return nil
 }
 
+// links returns the link addresses of the agents of a data centre.
+func (s *Site) links(datacentre string) []string {
+	var links []string
+	for _, i := range s.instances {
+		if i.Role == elmkvapi.InstanceRoleAgent && i.Datacentre == datacentre {
+			links = append(links, i.Address)
+		}
+	}
+	return links
+}
+
 func (s *Site) settings(name string, index int) elmsettings.Settings {
 	settings := elmsettings.Settings{
 		Instance:   name,
--- a/internal/stand/elmlocal/elmlocal_test.go
+++ b/internal/stand/elmlocal/elmlocal_test.go
@@ -446,6 +446,45 @@
 	group.Wait()
 }
 
+func TestEntryStartsDuringOutage(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	f.command("drain", "-platform", f.site.Platform, "-wait", "draft-2")
+	f.fault("down")
+	f.signal("entry-1", syscall.SIGKILL)
+	if err := f.site.Wait(f.ctx, "entry-1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.site.Restart("entry-1"); err != nil {
+		t.Fatal(err)
+	}
+	var a elmclient.Answer
+	for begin := time.Now(); !a.Whole(tokens) && time.Since(begin) < settleTime; pause(f.ctx, 100*time.Millisecond) {
+		a = f.client.Draft(f.ctx, f.entry(1), tokens)
+	}
+	if !a.Whole(tokens) {
+		t.Errorf("answered %d: %s", a.Status, a.Body)
+	}
+	if revision := f.site.Revision(f.ctx, "entry-1"); revision != 2 {
+		t.Errorf("at revision %d, want 2", revision)
+	}
+}
+
+func TestEntryKilledWithOrder(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	key := newKey()
+	var group sync.WaitGroup
+	group.Go(func() { _ = f.order(1, key, settleTime) })
+	f.until("the order runs", settleTime, func() bool { return f.site.Executions(f.ctx, key) == 1 })
+	f.signal("entry-1", syscall.SIGKILL)
+	group.Wait()
+	if a := f.settle(2, key); a.Status != 200 || a.Header.Get("Idempotency-Replayed") != "true" {
+		t.Errorf("the repeated order answered %d: %s", a.Status, a.Body)
+	}
+	f.wantRuns(key, 1, 1)
+}
+
 func TestListVanishes(t *testing.T) {
 	t.Parallel()
 	f := start(t)
--- a/internal/stand/elmlocal/observe.go
+++ b/internal/stand/elmlocal/observe.go
@@ -69,6 +69,15 @@
 	return nil
 }
 
+// Revision returns the configuration revision that an entry holds.
+func (s *Site) Revision(ctx context.Context, entry string) uint64 {
+	var status struct {
+		Revision uint64 `json:"revision"`
+	}
+	s.fetch(ctx, s.EntryURL(entry)+"/elmcove/status", &status)
+	return status.Revision
+}
+
 // fetch reads a JSON document. What does not answer counts nothing.
 func (s *Site) fetch(ctx context.Context, url string, document any) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
