Give each agent links from a few entries of its data centre

Weighed: blocks of agents for each entry (uneven when entries come and go, and rare services have no link at most entries). Taken: rendezvous hashing both ways, for agents and for the services of each entry.

--- a/internal/config/elmsettings/elmsettings.go
+++ b/internal/config/elmsettings/elmsettings.go
@@ -47,6 +47,9 @@
 	// Datacentres names the data centres whose agents an entry is linked to.
 	// It is linked to all if none is named.
 	Datacentres []string `json:"datacentres,omitempty"`
+	// Spread is the number of entries of a data centre that are linked to
+	// each agent. All are if it is 0.
+	Spread int `json:"spread,omitempty"`
 	// Neighbours are link addresses of agents in the data centre, for an
 	// entry that starts while the platform is out of reach.
 	Neighbours []string `json:"neighbours,omitempty"`
--- a/internal/entry/elmentry/follow.go
+++ b/internal/entry/elmentry/follow.go
@@ -60,7 +60,7 @@
 	if suspect {
 		e.logger.Event(elmlog.RosterSuspect, "listed", len(list.Instances))
 	}
-	e.fleet.Follow(ctx, roster.Agents())
+	e.fleet.Follow(ctx, roster.Assigned(e.settings.Instance, e.settings.Datacentre, e.settings.Spread))
 	if suspect {
 		return version
 	}
--- a/internal/platform/elmroster/elmroster.go
+++ b/internal/platform/elmroster/elmroster.go
@@ -59,20 +59,51 @@
 	})
 }
 
+// Assigned returns the agents that an entry keeps links to, in order of name.
+// Each agent gets links from spread entries of the entry's data centre, and each
+// entry has links to spread agents of each service at least. Spread 0 means all.
+func (r Roster) Assigned(name, datacentre string, spread int) []elmkvapi.Instance {
+	agents := r.Agents()
+	if spread == 0 {
+		return agents
+	}
+	entries := r.entries(datacentre)
+	own := map[string][]elmkvapi.Instance{}
+	for _, a := range agents {
+		own[a.Service.Value] = append(own[a.Service.Value], a)
+	}
+	var assigned []elmkvapi.Instance
+	for _, a := range agents {
+		if ranks(entries, a.Name, name) < spread || ranks(own[a.Service.Value], name, a.Name) < spread {
+			assigned = append(assigned, a)
+		}
+	}
+	return assigned
+}
+
+// ranks returns how many instances go before a named one by their rendezvous
+// hash for a key.
+func ranks(instances []elmkvapi.Instance, key, name string) int {
+	limit := xxhash.Sum64String(key + "\x00" + name)
+	before := 0
+	for _, i := range instances {
+		if xxhash.Sum64String(key+"\x00"+i.Name) < limit {
+			before++
+		}
+	}
+	return before
+}
+
 // Watches reports whether an entry instance is one of the count entries of its
 // data centre that watch the configuration for the others.
 func (r Roster) Watches(name, datacentre string, count int) bool {
-	entries := r.filter(func(i elmkvapi.Instance) bool {
+	return ranks(r.entries(datacentre), datacentre, name) < count
+}
+
+func (r Roster) entries(datacentre string) []elmkvapi.Instance {
+	return r.filter(func(i elmkvapi.Instance) bool {
 		return i.Role == elmkvapi.InstanceRoleEntry && i.Datacentre == datacentre
 	})
-	slices.SortFunc(entries, func(a, b elmkvapi.Instance) int {
-		if xxhash.Sum64String(a.Name) < xxhash.Sum64String(b.Name) {
-			return -1
-		}
-		return 1
-	})
-	known := slices.IndexFunc(entries, func(i elmkvapi.Instance) bool { return i.Name == name })
-	return known < count
 }
 
 func (r Roster) kept(next map[string]elmkvapi.Instance) int {
--- a/internal/platform/elmroster/elmroster_test.go
+++ b/internal/platform/elmroster/elmroster_test.go
@@ -46,6 +46,60 @@
 	}
 }
 
+// TestAssigned proves that no agent and no service is left without links, and
+// bounds the links of an entry, at the size of a data centre of letter 1.
+func TestAssigned(t *testing.T) {
+	tests := map[string]struct {
+		entries, agents, rare, spread int
+		most                          int
+	}{
+		"letter 1":      {16, 500, 3, 2, 100},
+		"three entries": {3, 12, 3, 2, 15},
+		"one entry":     {1, 12, 3, 2, 15},
+		"all":           {7, 12, 3, 0, 15},
+	}
+	for name, test := range tests {
+		Convey(name, t, func() {
+			var list []elmkvapi.Instance
+			for i := range test.agents + test.rare {
+				service := fmt.Sprintf("model-%d", i%7)
+				if i >= test.agents {
+					service = "dispatch"
+				}
+				list = append(list, elmkvapi.Instance{
+					Name:    fmt.Sprintf("agent-%d", i),
+					Role:    elmkvapi.InstanceRoleAgent,
+					Service: elmkvapi.NewOptString(service),
+					State:   elmkvapi.InstanceStateLive,
+				})
+			}
+			for i := range test.entries {
+				list = append(list, elmkvapi.Instance{Name: fmt.Sprintf("entry-%d", i), Role: elmkvapi.InstanceRoleEntry, Datacentre: "worcester"})
+			}
+			roster, _ := elmroster.Roster{}.Update(list, time.Now())
+			links := map[string]int{}
+			total := 0
+			for i := range test.entries {
+				assigned := roster.Assigned(fmt.Sprintf("entry-%d", i), "worcester", test.spread)
+				So(len(assigned), ShouldBeLessThanOrEqualTo, test.most)
+				total += len(assigned)
+				services := map[string]int{}
+				for _, a := range assigned {
+					links[a.Name]++
+					services[a.Service.Value]++
+				}
+				So(services["dispatch"], ShouldBeGreaterThanOrEqualTo, min(2, test.rare))
+				So(len(services), ShouldEqual, 8)
+			}
+			So(len(links), ShouldEqual, test.agents+test.rare)
+			for _, count := range links {
+				So(count, ShouldBeGreaterThanOrEqualTo, min(max(test.spread, 1), test.entries))
+			}
+			t.Logf("%s: %.1f links an entry", name, float64(total)/float64(test.entries))
+		})
+	}
+}
+
 func TestWatches(t *testing.T) {
 	Convey("Two entries of each data centre watch", t, func() {
 		var list []elmkvapi.Instance
