--- a/internal/entry/elmfleet/member.go
+++ b/internal/entry/elmfleet/member.go
@@ -58,6 +58,8 @@
 		if err == nil {
 			delays.Reset()
 			m.serve(ctx, link)
+		} else {
+			m.fleet.logger.Event(elmlog.DialFailed, "agent", m.instance.Name, "error", err)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -24,6 +24,7 @@
 	LinkUp              Event = 1301
 	LinkDown            Event = 1302
 	LinkRefused         Event = 1303
+	DialFailed          Event = 1304
 	RequestRefused      Event = 1401
 	RequestRetried      Event = 1402
 	RequestAborted      Event = 1403
@@ -59,6 +60,7 @@
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
 	LinkRefused:         {hclog.Warn, "link refused", "Check the peer's certificate and protocol version."},
+	DialFailed:          {hclog.Info, "agent can't be reached", "None while it restarts. If it stays so, check the agent's instance and the network between the two."},
 	RequestRefused:      {hclog.Info, "request refused", "Use elmcove explain with the request's identifier."},
 	RequestRetried:      {hclog.Debug, "request sent elsewhere", adviceNone},
 	RequestAborted:      {hclog.Warn, "answer broken off with an explicit error", "Check the endpoint that was serving it."},
--- a/internal/stand/elmlocal/elmlocal.go
+++ b/internal/stand/elmlocal/elmlocal.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/config/elmsettings"
+	"github.com/elmcove/elmcove/internal/stand/elmrelay"
 	"github.com/elmcove/elmcove/internal/wire/elmkeys"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
@@ -72,6 +73,8 @@
 	Cold int
 	// Untraced keeps no traces.
 	Untraced bool
+	// Relayed puts a relay before each agent, by which its links can be cut.
+	Relayed bool
 }
 
 // Granite returns the plan of the Granite Ring example.
@@ -109,6 +112,7 @@
 	plan      Plan
 	host      string
 	given     map[string]bool
+	relays    map[string]*elmrelay.Relay
 	keys      string
 	instances []elmkvapi.Instance
 	mutex     sync.Mutex
@@ -129,6 +133,7 @@
 		plan:      plan,
 		host:      loopback(os.Getpid(), sites.Add(1)),
 		given:     map[string]bool{},
+		relays:    map[string]*elmrelay.Relay{},
 		keys:      filepath.Join(plan.Folder, "keys"),
 		processes: map[string]*exec.Cmd{},
 		done:      map[string]chan struct{}{},
@@ -198,6 +203,9 @@
 		_ = p.Process.Signal(syscall.SIGCONT) // It may have ended.
 		_ = p.Process.Signal(syscall.SIGTERM)
 	}
+	for _, r := range s.relays {
+		r.Close()
+	}
 	deadline := time.After(stopTimeout)
 	for name, done := range s.done {
 		select {
@@ -375,6 +383,9 @@
 	settings.Link = link
 	settings.Service = service
 	settings.Endpoint = "http://" + endpoint
+	if link, err = s.relay(name, link); err != nil {
+		return err
+	}
 	s.instances = append(s.instances, elmkvapi.Instance{
 		Name:       name,
 		Role:       elmkvapi.InstanceRoleAgent,
@@ -393,6 +404,24 @@
 	return s.startWithSettings(name, "agent", settings)
 }
 
+// relay returns the address under which an agent is listed.
+func (s *Site) relay(name, link string) (string, error) {
+	if !s.plan.Relayed {
+		return link, nil
+	}
+	relay, err := elmrelay.New(s.host+":0", link)
+	if err != nil {
+		return "", err
+	}
+	s.relays[name] = relay
+	return relay.Address(), nil
+}
+
+// Cut cuts the links of an agent. The plan must be relayed.
+func (s *Site) Cut(agent string, cut elmrelay.Cut) {
+	s.relays[agent].Cut(cut)
+}
+
 // sharedEndpoint returns the address of the endpoint that the agents of a
 // service share, once it has been started.
 func (s *Site) sharedEndpoint(service string) string {
--- a/internal/stand/elmlocal/elmlocal_test.go
+++ b/internal/stand/elmlocal/elmlocal_test.go
@@ -57,11 +57,17 @@
 
 // start runs a small site for one test, and checks its logs for data races.
 func start(t *testing.T) *fixture {
+	t.Helper()
+	return startWith(t, func(*elmlocal.Plan) {})
+}
+
+// startWith is like start, with changes to the plan.
+func startWith(t *testing.T, change func(*elmlocal.Plan)) *fixture {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
 	folder := t.TempDir()
-	site, err := elmlocal.Start(ctx, elmlocal.Plan{
+	plan := elmlocal.Plan{
 		Bin:         bin,
 		Folder:      folder,
 		Name:        "granite",
@@ -75,7 +81,9 @@
 		Call:        callTime,
 		Warm:        32,
 		Cold:        2,
-	})
+	}
+	change(&plan)
+	site, err := elmlocal.Start(ctx, plan)
 	if err != nil {
 		t.Fatal(err)
 	}
