Split the long files, and test the store, the pause, the budget and the ledger

Cause: read as a newcomer, five files held several concerns (590 and 570 lines the longest), and four packages had no test of their own. Behaviour is as it was; moved code is unchanged. Two examples show one idea each.

--- /dev/null
+++ b/cmd/elmcapacity/changes.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/stand/elmlocal"
+)
+
+// measureChanges measures what a change of the configuration costs a watching
+// entry, the agents, and the network, by workspaces.
+func (m *meter) measureChanges() error {
+	fmt.Printf("\n## Changes, by workspaces\n\nOne entry that watches, %d agents, %d changes in a row.\n\n", changeAgents, changeCount)
+	fmt.Print("| workspaces | entry: ms of processor a change | agent: ms of processor a change | bytes a change, all links and the platform |\n| --- | --- | --- | --- |\n")
+	for _, count := range []int{100, 500, 1900} {
+		if err := m.measureChange(count); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *meter) measureChange(workspaces int) error {
+	site, stop, err := m.start(1, 0, changeAgents, time.Millisecond)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if err = m.applySample(site, workspaces); err != nil {
+		return err
+	}
+	pause(m.ctx, warmUp)
+	entryBefore, agentBefore, err := readPair(site)
+	if err != nil {
+		return err
+	}
+	operators := 0
+	for i := range changeCount {
+		used, drainErr := m.drain(site, fmt.Sprintf("dispatch-%d", 100+i))
+		if drainErr != nil {
+			return drainErr
+		}
+		operators += used
+		pause(m.ctx, changePause)
+	}
+	entryAfter, agentAfter, err := readPair(site)
+	if err != nil {
+		return err
+	}
+	spread := entryAfter.octets - entryBefore.octets - operators
+	fmt.Printf("| %d | %.2f | %.2f | %d |\n", workspaces,
+		milliseconds(entryAfter.cpu-entryBefore.cpu)/changeCount, milliseconds(agentAfter.cpu-agentBefore.cpu)/changeCount, spread/changeCount)
+	return nil
+}
+
+// applySample puts a configuration of a number of workspaces in force.
+func (m *meter) applySample(site *elmlocal.Site, workspaces int) error {
+	document, err := sampleDocument(workspaces)
+	if err != nil {
+		return err
+	}
+	file, err := os.CreateTemp("", "elmcapacity-*.json")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(file.Name()) }() // A leftover file does no harm.
+	if _, err = file.Write(document); err != nil {
+		return err
+	}
+	_, err = site.Command(m.ctx, "apply", "-platform", site.Platform, "-base", file.Name(), "-reset", "-wait")
+	return err
+}
+
+// drain makes a change, and returns the bytes that the operator's command
+// itself has moved.
+func (m *meter) drain(site *elmlocal.Site, name string) (int, error) {
+	before, err := receivedOctets()
+	if err != nil {
+		return 0, err
+	}
+	if _, err = site.Command(m.ctx, "drain", "-platform", site.Platform, name); err != nil {
+		return 0, err
+	}
+	after, err := receivedOctets()
+	return after - before, err
+}
+
+// readPair reads the usage of an entry and an agent.
+func readPair(site *elmlocal.Site) (entry, agent usage, err error) {
+	if entry, err = readUsage(site.ProcessID("entry-1")); err != nil {
+		return entry, agent, err
+	}
+	agent, err = readUsage(site.ProcessID("dispatch-1"))
+	return entry, agent, err
+}
--- /dev/null
+++ b/examples/warmth/main.go
@@ -0,0 +1,27 @@
+// Command warmth shows how the limit of an endpoint is learned, and falls when
+// the endpoint turns cold.
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/limit/elmwarmth"
+)
+
+func main() {
+	now := time.Unix(0, 0)
+	limit := elmwarmth.New(37*time.Millisecond, 64, now)
+	for i := range 12 {
+		step := 10 * time.Millisecond
+		if i >= 10 {
+			step = 60 * time.Millisecond
+		}
+		now = now.Add(500 * time.Millisecond)
+		limit = limit.WithReport(elmwarmth.Report{Capacity: 8, Measured: now.Add(-300 * time.Millisecond)})
+		for range limit.Learned() {
+			limit = limit.WithDemand(64).Observe(step, now)
+		}
+		fmt.Printf("a step of %s: limit %d\n", step, limit.Learned())
+	}
+}
--- /dev/null
+++ b/internal/entry/elmentry/answer.go
@@ -0,0 +1,80 @@
+package elmentry
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/entry/elmrequest"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/wire/elmapi"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+// begin sends the head of the answer, once there is something to follow it.
+func (x *exchange) begin() {
+	if x.began || x.head == nil {
+		return
+	}
+	x.began = true
+	x.entry.meter.Observe(elmmeter.FirstByte, time.Since(x.start))
+	x.w.Header().Set("Content-Type", x.head.Media)
+	x.w.Header().Set("Elmcove-Request", x.request.ID())
+	x.w.WriteHeader(int(x.head.Status))
+}
+
+func (x *exchange) write(data []byte) elmrequest.Message {
+	x.begin()
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // Not all writers have deadlines.
+	_, err := x.w.Write(data)
+	if err == nil {
+		err = controller.Flush()
+	}
+	if err != nil {
+		x.left = true
+		return elmrequest.Left{}
+	}
+	return nil
+}
+
+// abort ends a partial answer: a stream with an error event, and any answer by
+// breaking the connection, so that it is not taken for whole.
+func (x *exchange) abort() {
+	x.entry.logger.Event(elmlog.RequestAborted, "request", x.request.ID())
+	x.entry.meter.Count(outcomes, "outcome", "aborted")
+	if !x.began {
+		p := refusal(x.request, elmrequest.Refuse{Outcome: elmrequest.Unknown, Cause: elmrequest.CauseUnsettled})
+		x.refuse(p)
+		return
+	}
+	if strings.HasPrefix(x.head.Media, eventStream) {
+		_, _ = x.w.Write([]byte(errorEvent)) // The caller may have gone.
+		_ = http.NewResponseController(x.w).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) refuse(p problem) {
+	x.entry.logger.Event(elmlog.RequestRefused, "request", x.request.ID(), "outcome", p.outcome, "title", p.title)
+	x.entry.refuse(x.w, p)
+}
+
+// replay sends the recorded answer of an earlier attempt.
+func (x *exchange) replay(tally *elmwire.Tally) {
+	if !tally.GetKept() {
+		x.refuse(problem{
+			status:  http.StatusConflict,
+			title:   "the request has run, and its answer is too long to be kept",
+			outcome: elmapi.ProblemOutcomeRan,
+			request: x.request.ID(),
+		})
+		return
+	}
+	x.w.Header().Set("Idempotency-Replayed", "true")
+	x.head = &elmrequest.Begin{Status: tally.GetStatus(), Media: tally.GetMedia()}
+	x.begin()
+	_, _ = x.w.Write(tally.GetBody()) // The caller may have gone.
+	x.entry.meter.Count(outcomes, "outcome", "replayed")
+}
--- a/internal/entry/elmentry/exchange.go
+++ b/internal/entry/elmentry/exchange.go
@@ -9,15 +9,12 @@
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/elmcove/elmcove/internal/entry/elmfleet"
 	"github.com/elmcove/elmcove/internal/entry/elmrequest"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/observe/elmtrace"
 	"github.com/elmcove/elmcove/internal/state/elmclaim"
-	"github.com/elmcove/elmcove/internal/wire/elmapi"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -178,47 +175,6 @@
 	return nil
 }
 
-func (x *exchange) read(c elmrequest.Read) elmrequest.Message {
-	if x.entry.pause.Paused(x.start) {
-		return elmrequest.Thawed{}
-	}
-	value, err := x.entry.store.Read(x.storeContext(), c.Key)
-	if err != nil {
-		return elmrequest.StoreFailed{}
-	}
-	tally := &elmwire.Tally{}
-	if err := proto.Unmarshal(value.Data, tally); err != nil {
-		return elmrequest.StoreFailed{}
-	}
-	return elmrequest.Tallied{Version: value.Version, Tally: tally}
-}
-
-func (x *exchange) void(c elmrequest.Void) elmrequest.Message {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.Tally)
-	if err != nil {
-		return elmrequest.StoreFailed{}
-	}
-	hour := elmclaim.Hour(time.Now())
-	result, err := x.entry.store.SwapFor(x.storeContext(), c.Key, c.Version, data, hour, elmclaim.Life)
-	if err != nil {
-		return elmrequest.StoreFailed{}
-	}
-	if result.Won {
-		return elmrequest.Voided{Version: result.Value.Version}
-	}
-	tally := &elmwire.Tally{}
-	if err := proto.Unmarshal(result.Value.Data, tally); err != nil {
-		return elmrequest.StoreFailed{}
-	}
-	return elmrequest.Tallied{Version: result.Value.Version, Tally: tally}
-}
-
-// storeContext lets calls to the key-value service finish though the caller
-// has left. The store bounds their time.
-func (x *exchange) storeContext() context.Context {
-	return context.WithoutCancel(x.ctx)
-}
-
 func (x *exchange) place(c elmrequest.Place) elmrequest.Message {
 	if x.request.Kind() == elmrequest.Keyed && x.entry.pause.Paused(x.start) {
 		return elmrequest.Thawed{}
@@ -303,73 +259,6 @@
 	return elmrequest.Broken{Attempt: name}, false
 }
 
-// begin sends the head of the answer, once there is something to follow it.
-func (x *exchange) begin() {
-	if x.began || x.head == nil {
-		return
-	}
-	x.began = true
-	x.entry.meter.Observe(elmmeter.FirstByte, time.Since(x.start))
-	x.w.Header().Set("Content-Type", x.head.Media)
-	x.w.Header().Set("Elmcove-Request", x.request.ID())
-	x.w.WriteHeader(int(x.head.Status))
-}
-
-func (x *exchange) write(data []byte) elmrequest.Message {
-	x.begin()
-	controller := http.NewResponseController(x.w)
-	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // Not all writers have deadlines.
-	_, err := x.w.Write(data)
-	if err == nil {
-		err = controller.Flush()
-	}
-	if err != nil {
-		x.left = true
-		return elmrequest.Left{}
-	}
-	return nil
-}
-
-// abort ends a partial answer: a stream with an error event, and any answer by
-// breaking the connection, so that it is not taken for whole.
-func (x *exchange) abort() {
-	x.entry.logger.Event(elmlog.RequestAborted, "request", x.request.ID())
-	x.entry.meter.Count(outcomes, "outcome", "aborted")
-	if !x.began {
-		p := refusal(x.request, elmrequest.Refuse{Outcome: elmrequest.Unknown, Cause: elmrequest.CauseUnsettled})
-		x.refuse(p)
-		return
-	}
-	if strings.HasPrefix(x.head.Media, eventStream) {
-		_, _ = x.w.Write([]byte(errorEvent)) // The caller may have gone.
-		_ = http.NewResponseController(x.w).Flush()
-	}
-	panic(http.ErrAbortHandler)
-}
-
-func (x *exchange) refuse(p problem) {
-	x.entry.logger.Event(elmlog.RequestRefused, "request", x.request.ID(), "outcome", p.outcome, "title", p.title)
-	x.entry.refuse(x.w, p)
-}
-
-// replay sends the recorded answer of an earlier attempt.
-func (x *exchange) replay(tally *elmwire.Tally) {
-	if !tally.GetKept() {
-		x.refuse(problem{
-			status:  http.StatusConflict,
-			title:   "the request has run, and its answer is too long to be kept",
-			outcome: elmapi.ProblemOutcomeRan,
-			request: x.request.ID(),
-		})
-		return
-	}
-	x.w.Header().Set("Idempotency-Replayed", "true")
-	x.head = &elmrequest.Begin{Status: tally.GetStatus(), Media: tally.GetMedia()}
-	x.begin()
-	_, _ = x.w.Write(tally.GetBody()) // The caller may have gone.
-	x.entry.meter.Count(outcomes, "outcome", "replayed")
-}
-
 // close ends the present attempt.
 func (x *exchange) close() {
 	x.stop()
--- a/internal/entry/elmentry/handlers.go
+++ b/internal/entry/elmentry/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +12,6 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"github.com/elmcove/elmcove/internal/config/elmconfig"
-	"github.com/elmcove/elmcove/internal/entry/elmfleet"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/wire/elmapi"
 )
@@ -21,6 +19,8 @@
 const (
 	completionPath = "/v1/chat/completions"
 	bearerPrefix   = "Bearer "
+	// retryAfter is the time after which a refused request may be repeated.
+	retryAfter = time.Second
 	// prefixBytes is the part of a prompt by which cached prefixes are found.
 	prefixBytes = 256
 )
@@ -33,15 +33,6 @@
 	config    elmconfig.Config
 }
 
-// Status is what an entry tells operators of itself.
-type Status struct {
-	Instance   string            `json:"instance"`
-	Datacentre string            `json:"datacentre"`
-	Revision   uint64            `json:"revision"`
-	Draining   bool              `json:"draining"`
-	Agents     []elmfleet.Status `json:"agents"`
-}
-
 func (e *Entry) handler() (http.Handler, error) {
 	api, err := elmapi.NewServer(e, e, e, elmapi.WithErrorHandler(e.handleError))
 	if err != nil {
@@ -158,36 +149,6 @@
 	})
 }
 
-func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if e.draining.Load() || e.holder.Config().Revision() == 0 {
-		http.Error(w, "not taking new requests", http.StatusServiceUnavailable)
-	}
-}
-
-func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, Status{
-		Instance:   e.settings.Instance,
-		Datacentre: e.settings.Datacentre,
-		Revision:   e.holder.Config().Revision(),
-		Draining:   e.draining.Load(),
-		Agents:     e.fleet.Status(),
-	})
-}
-
-func (e *Entry) handleExplain(w http.ResponseWriter, r *http.Request) {
-	lines := e.ledger.Explain(r.PathValue("id"))
-	if lines == nil {
-		http.Error(w, "request is not remembered here", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, lines)
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // The caller has gone.
-}
-
 func promptPrefix(req *elmapi.Completion) string {
 	var prefix strings.Builder
 	for _, m := range req.Messages {
@@ -206,5 +167,3 @@
 		detail: fmt.Sprintf("the workspace may send %d bytes", e.Limit),
 	}
 }
-
-const retryAfter = time.Second
--- /dev/null
+++ b/internal/entry/elmpause/elmpause_test.go
@@ -0,0 +1,52 @@
+package elmpause_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/entry/elmpause"
+)
+
+func TestPaused(t *testing.T) {
+	tests := map[string]func(t *testing.T, d *elmpause.Detector){
+		"runs on": func(t *testing.T, d *elmpause.Detector) {
+			go d.Run(t.Context(), func(time.Duration) { t.Error("a suspension was reported") })
+			start := time.Now()
+			time.Sleep(10 * time.Second)
+			if d.Paused(start) {
+				t.Error("paused")
+			}
+		},
+		"not watched for long": func(t *testing.T, d *elmpause.Detector) {
+			start := time.Now()
+			time.Sleep(2 * time.Second)
+			if !d.Paused(start) {
+				t.Error("a suspension was not seen")
+			}
+		},
+		"after a suspension": func(t *testing.T, d *elmpause.Detector) {
+			before := time.Now()
+			time.Sleep(5 * time.Second)
+			reported := make(chan time.Duration, 1)
+			go d.Run(t.Context(), func(gap time.Duration) { reported <- gap })
+			if gap := <-reported; gap < 5*time.Second {
+				t.Errorf("gap of %s", gap)
+			}
+			if !d.Paused(before) || !d.Paused(time.Now()) {
+				t.Error("requests from before the suspension were not seen")
+			}
+			time.Sleep(2 * time.Second)
+			if d.Paused(time.Now()) || !d.Paused(before) {
+				t.Error("requests after the suspension are held to be from before")
+			}
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				test(t, elmpause.New())
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/platform/elmstore/elmstore_test.go
@@ -0,0 +1,68 @@
+package elmstore_test
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/stand/elmplatform"
+)
+
+// TestSwap proves what is said of a write under each fault of the service, and
+// that it agrees with what the service then holds.
+func TestSwap(t *testing.T) {
+	tests := map[string]struct {
+		fault  elmplatform.Fault
+		expect int64
+		won    bool
+		err    error
+		holds  string
+	}{
+		"accepted":                  {elmplatform.FaultNone, 1, true, nil, "new"},
+		"conflict":                  {elmplatform.FaultNone, 0, false, nil, "old"},
+		"reply lost":                {elmplatform.FaultLost, 1, true, nil, "new"},
+		"reply lost, with conflict": {elmplatform.FaultLost, 0, false, nil, "old"},
+		"down":                      {elmplatform.FaultDown, 1, false, elmstore.ErrUnavailable, "old"},
+	}
+	for name, test := range tests {
+		Convey(name, t, func() {
+			platform := elmplatform.New()
+			server := httptest.NewServer(platform.Handler())
+			defer server.Close()
+			store, err := elmstore.New(server.URL)
+			So(err, ShouldBeNil)
+			_, err = store.Swap(t.Context(), "key", 0, []byte("old"))
+			So(err, ShouldBeNil)
+			platform.SetFault(test.fault)
+			result, err := store.Swap(t.Context(), "key", test.expect, []byte("new"))
+			So(errors.Is(err, test.err), ShouldBeTrue)
+			So(result.Won, ShouldEqual, test.won)
+			platform.SetFault(elmplatform.FaultNone)
+			value, err := store.Read(t.Context(), "key")
+			So(err, ShouldBeNil)
+			So(string(value.Data), ShouldEqual, test.holds)
+		})
+	}
+}
+
+func TestLease(t *testing.T) {
+	Convey("All values of one hour share a lease", t, func() {
+		platform := elmplatform.New()
+		server := httptest.NewServer(platform.Handler())
+		defer server.Close()
+		store, err := elmstore.New(server.URL)
+		So(err, ShouldBeNil)
+		for _, key := range []string{"a", "b", "c"} {
+			_, err = store.SwapFor(t.Context(), key, 0, []byte("x"), 1, time.Hour)
+			So(err, ShouldBeNil)
+		}
+		So(platform.Counts().Leases, ShouldEqual, 1)
+		_, err = store.SwapFor(t.Context(), "d", 0, []byte("x"), 2, time.Hour)
+		So(err, ShouldBeNil)
+		So(platform.Counts().Leases, ShouldEqual, 2)
+	})
+}
--- /dev/null
+++ b/internal/stand/elmlocal/endpoints.go
@@ -0,0 +1,122 @@
+package elmlocal
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/elmcove/elmcove/internal/stand/elmrelay"
+	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
+)
+
+// Endpoint is an endpoint that was started, and its agent.
+type Endpoint struct {
+	Agent      string
+	Service    string
+	Datacentre string
+	// URL is the address of the endpoint itself.
+	URL string
+	// HTTP is the address of the agent's pages.
+	HTTP string
+}
+
+func (s *Site) startEndpoints() error {
+	for i := range s.plan.Models {
+		name := fmt.Sprintf("%s-%d", s.plan.Model, i+1)
+		if err := s.startEndpoint(name, s.plan.Model, "engine", i); err != nil {
+			return err
+		}
+	}
+	for i := range s.plan.Plains {
+		name := fmt.Sprintf("%s-%d", s.plan.Plain, i+1)
+		if err := s.startEndpoint(name, s.plan.Plain, "service", i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startEndpoint(name, service, kind string, index int) error {
+	endpoint, err := s.freePort("tcp")
+	if err != nil {
+		return err
+	}
+	pages, err := s.freePort("tcp")
+	if err != nil {
+		return err
+	}
+	link, err := s.freePort("udp")
+	if err != nil {
+		return err
+	}
+	if shared := s.sharedEndpoint(service); shared != "" {
+		endpoint = shared
+	} else if err = s.startStand(name+"-endpoint", kind, endpoint); err != nil {
+		return err
+	}
+	settings := s.settings(name, index)
+	settings.HTTP = pages
+	settings.Link = link
+	settings.Service = service
+	settings.Endpoint = "http://" + endpoint
+	if link, err = s.relay(name, link); err != nil {
+		return err
+	}
+	s.instances = append(s.instances, elmkvapi.Instance{
+		Name:       name,
+		Role:       elmkvapi.InstanceRoleAgent,
+		Datacentre: settings.Datacentre,
+		Address:    link,
+		Service:    elmkvapi.NewOptString(service),
+		State:      elmkvapi.InstanceStateLive,
+	})
+	s.Endpoints = append(s.Endpoints, Endpoint{
+		Agent:      name,
+		Service:    service,
+		Datacentre: settings.Datacentre,
+		URL:        settings.Endpoint,
+		HTTP:       pages,
+	})
+	return s.startWithSettings(name, "agent", settings)
+}
+
+// relay returns the address under which an agent is listed.
+func (s *Site) relay(name, link string) (string, error) {
+	if !s.plan.Relayed {
+		return link, nil
+	}
+	relay, err := elmrelay.New(s.host+":0", link)
+	if err != nil {
+		return "", err
+	}
+	s.relays[name] = relay
+	return relay.Address(), nil
+}
+
+// Cut cuts the links of an agent. The plan must be relayed.
+func (s *Site) Cut(agent string, cut elmrelay.Cut) {
+	s.relays[agent].Cut(cut)
+}
+
+// sharedEndpoint returns the address of the endpoint that the agents of a
+// service share, once it has been started.
+func (s *Site) sharedEndpoint(service string) string {
+	if !s.plan.Shared {
+		return ""
+	}
+	for _, e := range s.Endpoints {
+		if e.Service == service {
+			return strings.TrimPrefix(e.URL, "http://")
+		}
+	}
+	return ""
+}
+
+func (s *Site) startStand(name, kind, address string) error {
+	step := s.plan.Step
+	if kind == "service" {
+		step = s.plan.Call
+	}
+	return s.start(name, "elmstand", "-kind", kind, "-http", address, "-step", step.String(),
+		"-warm", strconv.Itoa(s.plan.Warm), "-cold", strconv.Itoa(s.plan.Cold))
+}
--- /dev/null
+++ b/internal/stand/elmlocal/fixture_test.go
@@ -0,0 +1,224 @@
+package elmlocal_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/elmcove/elmcove/internal/stand/elmclient"
+	"github.com/elmcove/elmcove/internal/stand/elmlocal"
+)
+
+// bin is the folder with the programs, built with the race detector.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "elmcove-bin-")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }() // A leftover folder does no harm.
+	bin = folder
+	build := exec.Command("go", "build", "-race", "-o", folder, "../../../cmd/elmcove", "../../../cmd/elmstand")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v: %s", err, output))
+	}
+	return m.Run()
+}
+
+// fixture is a site that runs, and a caller.
+type fixture struct {
+	*testing.T
+	ctx    context.Context
+	site   *elmlocal.Site
+	client *elmclient.Client
+}
+
+// start runs a small site for one test, and checks its logs for data races.
+func start(t *testing.T) *fixture {
+	t.Helper()
+	return startWith(t, func(*elmlocal.Plan) {})
+}
+
+// startWith is like start, with changes to the plan.
+func startWith(t *testing.T, change func(*elmlocal.Plan)) *fixture {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	folder := t.TempDir()
+	plan := elmlocal.Plan{
+		Bin:         bin,
+		Folder:      folder,
+		Name:        "granite",
+		Datacentres: []string{"worcester", "manchester", "springfield"},
+		Entries:     3,
+		Model:       "draft",
+		Models:      3,
+		Plain:       "dispatch",
+		Plains:      3,
+		Step:        6 * time.Millisecond,
+		Call:        callTime,
+		Warm:        32,
+		Cold:        2,
+	}
+	change(&plan)
+	site, err := elmlocal.Start(ctx, plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := elmclient.New("curb-secret")
+	t.Cleanup(func() {
+		client.Close()
+		site.Stop()
+		checkLogs(t, folder)
+	})
+	f := &fixture{T: t, ctx: ctx, site: site, client: client}
+	f.command("apply", "-platform", site.Platform, "-base", granite+"base.json", "-overlay", granite+"overlay.json")
+	if err := site.WaitReady(ctx); err != nil {
+		output, _ := site.Command(ctx, "status", "-platform", site.Platform) // The first error counts.
+		t.Fatal(err, "\n", output, readLogs(t, folder))
+	}
+	return f
+}
+
+// readLogs returns all logs, for a site that does not get ready.
+func readLogs(t *testing.T, folder string) string {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all strings.Builder
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&all, "%s:\n%s\n", filepath.Base(path), text)
+	}
+	return all.String()
+}
+
+func checkLogs(t *testing.T, folder string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(text), "DATA RACE") || strings.Contains(string(text), "panic:") {
+			t.Errorf("%s:\n%s", filepath.Base(path), text)
+		}
+	}
+}
+
+func (f *fixture) command(arguments ...string) string {
+	f.Helper()
+	output, err := f.site.Command(f.ctx, arguments...)
+	if err != nil {
+		f.Fatal(err)
+	}
+	return output
+}
+
+func (f *fixture) signal(name string, signal syscall.Signal) {
+	f.Helper()
+	if err := f.site.Signal(name, signal); err != nil {
+		f.Fatal(err)
+	}
+}
+
+func (f *fixture) fault(kind string) {
+	f.Helper()
+	if err := f.site.SetFault(f.ctx, kind); err != nil {
+		f.Fatal(err)
+	}
+}
+
+func (f *fixture) entry(number int) string {
+	return f.site.EntryURL(fmt.Sprintf("entry-%d", number))
+}
+
+// order sends a work order and gives up after a time.
+func (f *fixture) order(entry int, key string, patience time.Duration) elmclient.Answer {
+	ctx, cancel := context.WithTimeout(f.ctx, patience)
+	defer cancel()
+	return f.client.Order(ctx, f.entry(entry), key)
+}
+
+// until waits for something that may be observed.
+func (f *fixture) until(what string, limit time.Duration, held func() bool) {
+	f.Helper()
+	for begin := time.Now(); !held(); {
+		if time.Since(begin) > limit {
+			f.Fatalf("%s: not within %s", what, limit)
+		}
+		pause(f.ctx, 20*time.Millisecond)
+	}
+}
+
+// pause lets time pass between two observations of real processes.
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
+func newKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+func (f *fixture) wantOutcome(a elmclient.Answer, outcome string) {
+	f.Helper()
+	if got := a.Problem().Outcome; got != outcome {
+		f.Errorf("outcome %q, want %q (status %d, body %s, error %v)", got, outcome, a.Status, a.Body, a.Err)
+	}
+}
+
+func (f *fixture) wantRuns(key string, least, most int) {
+	f.Helper()
+	if runs := f.site.Executions(f.ctx, key); runs < least || runs > most {
+		f.Errorf("the order ran %d times, want %d to %d", runs, least, most)
+	}
+}
+
+// draft asks for a completion, and again while it is called not run.
+func (f *fixture) draft(entry, count int) elmclient.Answer {
+	var a elmclient.Answer
+	for begin := time.Now(); time.Since(begin) < settleTime; pause(f.ctx, 200*time.Millisecond) {
+		a = f.client.Draft(f.ctx, f.entry(entry), count)
+		if a.Problem().Outcome != "not-run" {
+			break
+		}
+	}
+	return a
+}
+
+// settle asks for the same order until it is answered.
+func (f *fixture) settle(entry int, key string) elmclient.Answer {
+	var a elmclient.Answer
+	for begin := time.Now(); time.Since(begin) < settleTime; pause(f.ctx, 200*time.Millisecond) {
+		a = f.order(entry, key, settleTime)
+		if a.Status == 200 {
+			break
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/stand/elmlocal/processes.go
@@ -0,0 +1,102 @@
+package elmlocal
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"github.com/elmcove/elmcove/internal/config/elmsettings"
+)
+
+// Signal sends a signal to a process by its name.
+func (s *Site) Signal(name string, signal syscall.Signal) error {
+	s.mutex.Lock()
+	p, ok := s.processes[name]
+	s.mutex.Unlock()
+	if !ok {
+		return fmt.Errorf("%w: no process %q", ErrLocal, name)
+	}
+	if err := p.Process.Signal(signal); err != nil {
+		return fmt.Errorf("%w: signal %s: %w", ErrLocal, name, err)
+	}
+	return nil
+}
+
+// Wait waits until a process has ended.
+func (s *Site) Wait(ctx context.Context, name string) error {
+	s.mutex.Lock()
+	done := s.done[name]
+	s.mutex.Unlock()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: wait for %s: %w", ErrLocal, name, ctx.Err())
+	}
+}
+
+// ProcessID returns the identifier of a process by its name.
+func (s *Site) ProcessID(name string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.processes[name].Process.Pid
+}
+
+// Command runs an operator's command and returns what it printed.
+func (s *Site) Command(ctx context.Context, arguments ...string) (string, error) {
+	c := exec.CommandContext(ctx, filepath.Join(s.plan.Bin, "elmcove"), arguments...)
+	output, err := c.CombinedOutput()
+	if err != nil {
+		return string(output), fmt.Errorf("%w: elmcove %v: %w: %s", ErrLocal, arguments, err, output)
+	}
+	return string(output), nil
+}
+
+func (s *Site) startWithSettings(name, role string, settings elmsettings.Settings) error {
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrLocal, err)
+	}
+	path := filepath.Join(s.plan.Folder, name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return fmt.Errorf("%w: %w", ErrLocal, err)
+	}
+	return s.start(name, "elmcove", role, "-settings", path)
+}
+
+// Restart starts a process again that has ended, with the same settings.
+func (s *Site) Restart(name string) error {
+	s.mutex.Lock()
+	arguments := s.processes[name].Args[1:]
+	program := filepath.Base(s.processes[name].Path)
+	s.mutex.Unlock()
+	return s.start(name, program, arguments...)
+}
+
+func (s *Site) start(name, program string, arguments ...string) error {
+	logFile, err := os.OpenFile(filepath.Join(s.plan.Folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrLocal, err)
+	}
+	defer func() { _ = logFile.Close() }() // The child has its own copy.
+	c := exec.Command(filepath.Join(s.plan.Bin, program), arguments...)
+	c.Stdout = logFile
+	c.Stderr = logFile
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("%w: start %s: %w", ErrLocal, name, err)
+	}
+	done := make(chan struct{})
+	go func() {
+		_ = c.Wait() // Processes may end in any way.
+		close(done)
+	}()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.processes[name] = c
+	s.done[name] = done
+	return nil
+}
