--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,8 @@
 capacity: build
 	bin/elmcapacity -bin bin > docs/SLOPES.md
 
+measure: build
+	bin/elmmeasure -bin bin > docs/MEASURES.md
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
--- /dev/null
+++ b/cmd/elmmeasure/main.go
@@ -0,0 +1,73 @@
+// Command elmmeasure measures the service that callers get while a data centre
+// leaves and returns, on the Granite Ring example as real processes on loopback,
+// and prints the figures as Markdown.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/stand/elmlocal"
+)
+
+const (
+	base    = "examples/granite/base.json"
+	overlay = "examples/granite/overlay.json"
+	limit   = 9 * time.Minute
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the programs")
+	runs := flag.Int("runs", 10, "runs of each scenario")
+	flag.Parse()
+	if err := run(*bin, *runs); err != nil {
+		fmt.Fprintln(os.Stderr, "elmmeasure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(bin string, runs int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	bin, err := filepath.Abs(bin)
+	if err != nil {
+		return err
+	}
+	fmt.Printf(intro, draftRate, draftTokens, orderRate, calmTime, awayTime, calmTime, runs, runtime.NumCPU(), runtime.Version())
+	for _, s := range scenarios {
+		var results []result
+		for seed := range runs {
+			r, err := play(ctx, bin, s, uint64(seed))
+			if err != nil {
+				return fmt.Errorf("%s, run %d: %w", s.name, seed, err)
+			}
+			results = append(results, r)
+		}
+		printRow(s, results)
+	}
+	return nil
+}
+
+// start runs the Granite Ring example.
+func start(ctx context.Context, bin, folder string) (*elmlocal.Site, error) {
+	plan := elmlocal.Granite(bin, folder)
+	plan.Untraced = true
+	site, err := elmlocal.Start(ctx, plan)
+	if err != nil {
+		return nil, err
+	}
+	_, err = site.Command(ctx, "apply", "-platform", site.Platform, "-base", base, "-overlay", overlay)
+	if err == nil {
+		err = site.WaitReady(ctx)
+	}
+	if err != nil {
+		site.Stop()
+		return nil, err
+	}
+	return site, nil
+}
--- a/internal/stand/elmlocal/cut_test.go
+++ b/internal/stand/elmlocal/cut_test.go
@@ -190,6 +190,34 @@
 	}
 }
 
+// TestAbandonedAtLimit proves that the place of a cancelled request is given to
+// another only once the engine has let go of the first.
+func TestAbandonedAtLimit(t *testing.T) {
+	t.Parallel()
+	const callers, rounds = 12, 25
+	f := startWith(t, func(plan *elmlocal.Plan) {
+		plan.Warm = 2
+		plan.Cold = 2
+	})
+	var group sync.WaitGroup
+	for i := range callers {
+		random := rand.New(rand.NewPCG(uint64(i), 3))
+		group.Go(func() {
+			for range rounds {
+				ctx, cancel := context.WithTimeout(f.ctx, time.Duration(30+random.IntN(120))*time.Millisecond)
+				_ = f.client.Draft(ctx, f.entry(1+i%3), tokens)
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	counts := f.site.EngineCounts(f.ctx, "")
+	t.Logf("%d started, %d cancelled", counts.Started, counts.Cancelled)
+	if counts.Overrun > 0 || counts.Cancelled < callers {
+		t.Errorf("%d requests beyond what the engines bore, %d cancelled", counts.Overrun, counts.Cancelled)
+	}
+}
+
 // TestInForce proves that a change is in force everywhere within 11 s, also at
 // entries that were frozen when it was made.
 func TestInForce(t *testing.T) {
--- a/internal/stand/elmlocal/observe.go
+++ b/internal/stand/elmlocal/observe.go
@@ -69,6 +69,17 @@
 	return nil
 }
 
+// Members returns the names of the entries and agents of a data centre.
+func (s *Site) Members(datacentre string) []string {
+	var names []string
+	for _, i := range s.instances {
+		if i.Datacentre == datacentre {
+			names = append(names, i.Name)
+		}
+	}
+	return names
+}
+
 // Revision returns the configuration revision that an entry holds.
 func (s *Site) Revision(ctx context.Context, entry string) uint64 {
 	var status struct {
