--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 generated: generate
 	git diff --exit-code -- internal/wire docs/CONFIG.md
+	go mod tidy -diff
 
 format:
 	$(LINT) fmt
--- a/internal/agent/elmagent/admission.go
+++ b/internal/agent/elmagent/admission.go
@@ -7,10 +7,15 @@
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
-func (a *Agent) isLeaving() bool {
+// beginLink counts a link, unless the agent is stopping.
+func (a *Agent) beginLink() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.leaving
+	if a.leaving {
+		return false
+	}
+	a.links.Add(1)
+	return true
 }
 
 // takes reports whether the endpoint may receive new work.
--- a/internal/agent/elmagent/elmagent.go
+++ b/internal/agent/elmagent/elmagent.go
@@ -128,11 +128,14 @@
 		if err != nil {
 			return
 		}
-		if a.isLeaving() {
+		if !a.beginLink() {
 			_ = conn.CloseWithError(1, "leaving") // The entry may have gone.
 			continue
 		}
-		a.links.Go(func() { a.serveLink(ctx, conn) })
+		go func() {
+			defer a.links.Done()
+			a.serveLink(ctx, conn)
+		}()
 	}
 }
 
