Raise the limit of an endpoint without reports slowly

Reproduced in virtual time: a new case of TestCold, with the first report after 1.5 s, was red (1 late overrun) before the change.

Now a limit without reports rises every 5 s.

--- a/internal/limit/elmwarmth/elmwarmth.go
+++ b/internal/limit/elmwarmth/elmwarmth.go
@@ -40,7 +40,7 @@
 	idleAfter = 500 * time.Millisecond
 	// blindRise is the least time between two rises of the limit of an
 	// endpoint that sends no reports.
-	blindRise = 500 * time.Millisecond
+	blindRise = 5 * time.Second
 )
 
 // Report is a load report of an endpoint.
--- a/internal/limit/elmwarmth/elmwarmth_test.go
+++ b/internal/limit/elmwarmth/elmwarmth_test.go
@@ -43,6 +43,7 @@
 	next     elmwarmth.Report
 	warmAt   time.Time
 	running  []play
+	mute     time.Time
 	overruns int
 	late     int
 	turned   time.Time
@@ -90,7 +91,7 @@
 }
 
 func (b *bench) advance(now time.Time) {
-	if now.Sub(b.next.Measured) >= reportLag {
+	if now.After(b.mute) && now.Sub(b.next.Measured) >= reportLag {
 		b.report = b.next
 		b.next = elmwarmth.Report{Capacity: b.bears(now), Measured: now}
 		b.limit = b.limit.WithReport(b.report)
@@ -113,9 +114,9 @@
 }
 
 // run plays one endpoint that turns cold at the given times.
-func run(seed uint64, rate float64, quiet bool, colds []time.Duration, give policy) *bench {
+func run(seed uint64, rate float64, quiet bool, mute time.Duration, colds []time.Duration, give policy) *bench {
 	start := time.Unix(1_800_000_000, 0)
-	b := &bench{random: rand.New(rand.NewPCG(seed, 1)), limit: elmwarmth.New(goal, ceiling, start), warmAt: start.Add(warmTime)}
+	b := &bench{random: rand.New(rand.NewPCG(seed, 1)), limit: elmwarmth.New(goal, ceiling, start), warmAt: start.Add(warmTime), mute: start.Add(mute)}
 	for elapsed := time.Duration(0); elapsed < runTime; elapsed += time.Millisecond {
 		now := start.Add(elapsed)
 		for len(colds) > 0 && elapsed >= colds[0] {
@@ -140,10 +141,12 @@
 	tests := map[string]struct {
 		rate  float64
 		quiet bool
+		mute  time.Duration
 		colds []time.Duration
 	}{
 		"cold start":             {rate: 0.2},
 		"cold start, flooded":    {rate: 0.9},
+		"first reports are late": {rate: 0.5, mute: 1500 * time.Millisecond},
 		"turns cold under load":  {rate: 0.2, colds: []time.Duration{5 * time.Second, 9 * time.Second}},
 		"turns cold while quiet": {rate: 0.2, quiet: true, colds: []time.Duration{5900 * time.Millisecond, 8900 * time.Millisecond}},
 		"turns cold twice":       {rate: 0.5, colds: []time.Duration{5 * time.Second, 5200 * time.Millisecond}},
@@ -152,12 +155,12 @@
 		Convey(name, t, func() {
 			seen, early := 0, 0
 			for seed := range uint64(20) {
-				b := run(seed, test.rate, test.quiet, test.colds, learned)
+				b := run(seed, test.rate, test.quiet, test.mute, test.colds, learned)
 				So(b.late, ShouldEqual, 0)
 				So(b.overruns, ShouldBeLessThanOrEqualTo, len(test.colds))
 				early += b.overruns
 				So(b.peak, ShouldBeGreaterThan, warmBears/2)
-				seen += run(seed, test.rate, test.quiet, test.colds, reported).overruns
+				seen += run(seed, test.rate, test.quiet, test.mute, test.colds, reported).overruns
 			}
 			t.Logf("%s: %d overruns, %d where the reports alone are believed", name, early, seen)
 			if len(test.colds) > 0 {
