Say not run of a repeatable request only if no attempt of it may have run

Cause, found by reading: a draft whose first attempt broke off, or failed at its endpoint, and which then found no endpoint, was refused as not-run.

--- a/internal/entry/elmrequest/elmrequest.go
+++ b/internal/entry/elmrequest/elmrequest.go
@@ -83,6 +83,8 @@
 	attempts int
 	tried    []string
 	tally    *elmwire.Tally
+	// exposed means that an attempt without a claim may have run.
+	exposed bool
 }
 
 // New returns a request that has not started.
@@ -243,6 +245,10 @@
 		r.tally = m.Tally
 	case Voided:
 		r.version = m.Version
+	case Broken:
+		r.exposed = r.kind != Keyed
+	case Refused:
+		r.exposed = r.exposed || (r.kind != Keyed && !m.Refusal.GetUnrun())
 	case Placed:
 		r.attempts++
 		r.tried = append(slices.Clone(r.tried), m.Agent)
@@ -285,7 +291,7 @@
 func (r Request) refusal(action string) []Command {
 	switch action {
 	case "refuse-unrun":
-		return []Command{Refuse{Outcome: NotRun, Cause: CauseCapacity}}
+		return []Command{Refuse{Outcome: r.outcome(), Cause: CauseCapacity}}
 	case "refuse-unknown":
 		return []Command{Refuse{Outcome: Unknown, Cause: CauseUnsettled}}
 	case "cancel-refuse-unknown":
@@ -296,6 +302,14 @@
 	return nil
 }
 
+// outcome tells what is known of a request whose last attempt did not run.
+func (r Request) outcome() Outcome {
+	if r.exposed {
+		return Unknown
+	}
+	return NotRun
+}
+
 func (r Request) void() Void {
 	return Void{
 		Key:     r.key,
--- /dev/null
+++ b/internal/entry/elmrequest/elmrequest_test.go
@@ -0,0 +1,88 @@
+package elmrequest_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/elmcove/elmcove/internal/entry/elmrequest"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+var (
+	full   = &elmwire.Refusal{Reason: elmwire.Reason_REASON_CAPACITY, Unrun: true}
+	failed = &elmwire.Refusal{Reason: elmwire.Reason_REASON_ENDPOINT}
+)
+
+// TestOutcome proves what is said of requests without a key that get no answer.
+func TestOutcome(t *testing.T) {
+	placed := elmrequest.Placed{Agent: "draft-1"}
+	tests := map[string]struct {
+		kind     elmrequest.Kind
+		messages []elmrequest.Message
+		want     elmrequest.Outcome
+	}{
+		"nowhere to go": {
+			elmrequest.Repeatable,
+			[]elmrequest.Message{elmrequest.Unplaced{}},
+			elmrequest.NotRun,
+		},
+		"refused, then nowhere to go": {
+			elmrequest.Once,
+			[]elmrequest.Message{placed, elmrequest.Refused{Attempt: "r/1", Refusal: full}, elmrequest.Unplaced{}},
+			elmrequest.NotRun,
+		},
+		"link broke, once": {
+			elmrequest.Once,
+			[]elmrequest.Message{placed, elmrequest.Broken{Attempt: "r/1"}},
+			elmrequest.Unknown,
+		},
+		"link broke, then nowhere to go": {
+			elmrequest.Repeatable,
+			[]elmrequest.Message{placed, elmrequest.Broken{Attempt: "r/1"}, elmrequest.Unplaced{}},
+			elmrequest.Unknown,
+		},
+		"endpoint failed, then nowhere to go": {
+			elmrequest.Repeatable,
+			[]elmrequest.Message{placed, elmrequest.Refused{Attempt: "r/1", Refusal: failed}, elmrequest.Unplaced{}},
+			elmrequest.Unknown,
+		},
+		"endpoint failed, then time over": {
+			elmrequest.Repeatable,
+			[]elmrequest.Message{placed, elmrequest.Refused{Attempt: "r/1", Refusal: failed}, elmrequest.Expired{}},
+			elmrequest.Unknown,
+		},
+		"link broke, then all refuse": {
+			elmrequest.Repeatable,
+			[]elmrequest.Message{
+				placed, elmrequest.Broken{Attempt: "r/1"},
+				placed, elmrequest.Refused{Attempt: "r/2", Refusal: full},
+				placed, elmrequest.Refused{Attempt: "r/3", Refusal: full},
+				placed, elmrequest.Refused{Attempt: "r/4", Refusal: full},
+			},
+			elmrequest.Unknown,
+		},
+		"retry budget spent": {
+			elmrequest.Repeatable,
+			[]elmrequest.Message{placed, elmrequest.Broken{Attempt: "r/1", Spent: true}},
+			elmrequest.Unknown,
+		},
+	}
+	for name, test := range tests {
+		Convey(name, t, func() {
+			request, _ := elmrequest.New("r", test.kind).Update(elmrequest.Start{})
+			var outcome elmrequest.Outcome
+			for _, m := range test.messages {
+				var commands []elmrequest.Command
+				request, commands = request.Update(m)
+				for _, c := range commands {
+					if refuse, ok := c.(elmrequest.Refuse); ok {
+						outcome = refuse.Outcome
+					}
+				}
+			}
+			So(request.Done(), ShouldBeTrue)
+			So(outcome, ShouldEqual, test.want)
+		})
+	}
+}
