Say unknown of a keyed request that is refused before its claim is read

Cause, found by reading: a work order sent again with its key, while its workspace was at its limit (429), or with a key that had grown too old, was refused as not-run, though the first sending may have run. Such refusals say unknown now. A malformed key is still not-run, since it can't have run.

--- a/internal/entry/elmentry/exchange.go
+++ b/internal/entry/elmentry/exchange.go
@@ -61,7 +61,8 @@
 	defer span.End()
 	request, err := e.newRequest(sender, c)
 	if err != nil {
-		e.refuse(w, problem{status: http.StatusBadRequest, title: "idempotency key is not accepted", detail: err.Error()})
+		outcome := earlyOutcome(errors.Is(err, elmclaim.ErrAge))
+		e.refuse(w, problem{status: http.StatusBadRequest, title: "idempotency key is not accepted", detail: err.Error(), outcome: outcome})
 		return
 	}
 	now := time.Now()
--- a/internal/entry/elmentry/handlers.go
+++ b/internal/entry/elmentry/handlers.go
@@ -19,6 +19,7 @@
 const (
 	completionPath = "/v1/chat/completions"
 	bearerPrefix   = "Bearer "
+	keyHeader      = "Idempotency-Key"
 	// retryAfter is the time after which a refused request may be repeated.
 	retryAfter = time.Second
 	// prefixBytes is the part of a prompt by which cached prefixes are found.
@@ -59,12 +60,12 @@
 		if !ok || !known {
 			e.logger.Event(elmlog.CredentialRejected, "remote", r.RemoteAddr)
 			w.Header().Set("WWW-Authenticate", "Bearer")
-			e.refuse(w, problem{status: http.StatusUnauthorized, title: "credential missing or unknown"})
+			e.refuse(w, early(r, problem{status: http.StatusUnauthorized, title: "credential missing or unknown"}))
 			return
 		}
 		if !e.enter(workspace, config.Concurrency(workspace)) {
 			e.logger.Event(elmlog.ConcurrencyExceeded, "workspace", workspace)
-			e.refuse(w, problem{status: http.StatusTooManyRequests, title: "workspace has too many open requests", retry: retryAfter})
+			e.refuse(w, early(r, problem{status: http.StatusTooManyRequests, title: "workspace has too many open requests", retry: retryAfter}))
 			return
 		}
 		defer e.leave(workspace)
@@ -87,20 +88,21 @@
 }
 
 // handleError answers requests that do not match the schema.
-func (e *Entry) handleError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+func (e *Entry) handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
 	var tooLarge *http.MaxBytesError
 	p := problem{status: ogenerrors.ErrorCode(err), title: "request is not valid", detail: err.Error()}
 	if errors.As(err, &tooLarge) {
 		p = bodyTooLarge(tooLarge)
 	}
-	e.refuse(w, p)
+	e.refuse(w, early(r, p))
 }
 
 // CreateCompletion implements elmapi.RawHandler.
 func (e *Entry) CreateCompletion(ctx context.Context, req *elmapi.Completion, params elmapi.CreateCompletionParams, w http.ResponseWriter) error {
 	sender, _ := ctx.Value(contextKey{}).(caller)
 	if !sender.config.Model(req.Model) {
-		e.refuse(w, problem{status: http.StatusNotFound, title: "unknown model", detail: fmt.Sprintf("model %q is not configured", req.Model)})
+		detail := fmt.Sprintf("model %q is not configured", req.Model)
+		e.refuse(w, problem{status: http.StatusNotFound, title: "unknown model", detail: detail, outcome: earlyOutcome(params.IdempotencyKey.Set)})
 		return nil
 	}
 	body, err := req.MarshalJSON()
@@ -126,7 +128,8 @@
 	service := r.PathValue("service")
 	config, known := sender.config.Services[service]
 	if !known || sender.config.Model(service) {
-		e.refuse(w, problem{status: http.StatusNotFound, title: "unknown service", detail: fmt.Sprintf("service %q (%s) is not a plain service", service, config.Kind)})
+		detail := fmt.Sprintf("service %q (%s) is not a plain service", service, config.Kind)
+		e.refuse(w, early(r, problem{status: http.StatusNotFound, title: "unknown service", detail: detail}))
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -144,7 +147,7 @@
 		path:       path,
 		media:      r.Header.Get("Content-Type"),
 		body:       body,
-		key:        r.Header.Get("Idempotency-Key"),
+		key:        r.Header.Get(keyHeader),
 		repeatable: sender.config.Repeatable(service, r.Method, path) && r.Header.Get("Elmcove-Repeatable") != "false",
 	})
 }
--- a/internal/entry/elmentry/problem.go
+++ b/internal/entry/elmentry/problem.go
@@ -40,6 +40,21 @@
 	return response
 }
 
+// early returns a refusal that comes before the claim of a request was read.
+func early(r *http.Request, p problem) problem {
+	p.outcome = earlyOutcome(r.Header.Get(keyHeader) != "")
+	return p
+}
+
+// earlyOutcome tells what is known of a request whose claim was not read. One
+// with a key may have run when it was sent before.
+func earlyOutcome(keyed bool) elmapi.ProblemOutcome {
+	if keyed {
+		return elmapi.ProblemOutcomeUnknown
+	}
+	return elmapi.ProblemOutcomeNotRun
+}
+
 // refuse answers with a problem document.
 func (e *Entry) refuse(w http.ResponseWriter, p problem) {
 	response := p.response()
@@ -48,6 +63,7 @@
 		w.Header().Set("Retry-After", strconv.Itoa(int(p.retry.Seconds())))
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
 	body, err := response.MarshalJSON()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
