Give the place of a cancelled request away only after a grace of 50 ms

The agent gave a place away as soon as it had cancelled a request, and the next one reached the engine before the engine had noticed. Weighed: waiting for the engine's report (lags 300 ms) and asking it (no such call).

--- a/internal/agent/elmagent/admission.go
+++ b/internal/agent/elmagent/admission.go
@@ -88,7 +88,13 @@
 	}
 }
 
-func (a *Agent) release() {
-	a.gate.Leave()
+// release returns the place of a job. The endpoint may not have let go yet of
+// one that it has not answered in full.
+func (a *Agent) release(whole bool) {
 	a.jobs.Done()
+	if whole {
+		a.gate.Leave()
+		return
+	}
+	time.AfterFunc(cancelGrace, a.gate.Leave)
 }
--- a/internal/agent/elmagent/jobs.go
+++ b/internal/agent/elmagent/jobs.go
@@ -19,7 +19,12 @@
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
-const openTimeout = 5 * time.Second
+const (
+	openTimeout = 5 * time.Second
+	// cancelGrace is the time that an endpoint has to let go of a request that
+	// was cancelled or has failed, before its place is given to another.
+	cancelGrace = 50 * time.Millisecond
+)
 
 // job carries out the commands of one elmjob.Job.
 type job struct {
@@ -28,6 +33,8 @@
 	stream *quic.Stream
 	frames *elmframe.Assembler
 	base   context.Context
+	// whole means that the endpoint has answered in full.
+	whole bool
 }
 
 // serveStream serves one request.
@@ -55,7 +62,7 @@
 	if reason != elmwire.Reason_REASON_UNSPECIFIED {
 		message = elmjob.Denied{Reason: reason}
 	} else {
-		defer j.agent.release()
+		defer func() { j.agent.release(j.whole) }()
 	}
 	for message != nil {
 		var commands []elmjob.Command
@@ -119,6 +126,7 @@
 	defer span.End()
 	reply, err := j.agent.caller.Call(ctx, j.open, j)
 	if err == nil {
+		j.whole = true
 		return elmjob.Replied{Status: reply.Status, Media: reply.Media, Body: reply.Body}
 	}
 	if j.stream.Context().Err() != nil {
