--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 
 test: generated lint
 	@if [ -n "$(RED)" ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
-	go test -race -timeout 20m $(if $(RED),-skip '^($(RED))$$') $(PACKAGES)
+	go test -race -count=1 -timeout 20m $(if $(RED),-skip '^($(RED))$$') $(PACKAGES)
 
 capacity: build
 	bin/elmcapacity -bin bin > docs/SLOPES.md
