--- /dev/null
+++ b/internal/command/elmcommand/onplatform.go
@@ -0,0 +1,89 @@
+package elmcommand
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/elmcove/elmcove/internal/expert/elmpilot"
+	"github.com/elmcove/elmcove/internal/forward/elmrouter"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmsink"
+	"github.com/elmcove/elmcove/platform"
+)
+
+// platformRun runs a process with settings of the platform.
+type platformRun func(ctx context.Context, settings platform.Settings, logger *elmlog.Logger) error
+
+func routerCommand() *command {
+	return onPlatform("router", "Runs the entry process on the users' platform.",
+		func(ctx context.Context, s platform.Settings, l *elmlog.Logger) error {
+			return elmrouter.New(s, l).Run(ctx)
+		})
+}
+
+func pilotCommand() *command {
+	return onPlatform("pilot", "Runs the agent process on the users' platform.",
+		func(ctx context.Context, s platform.Settings, l *elmlog.Logger) error {
+			return elmpilot.New(s, l).Run(ctx)
+		})
+}
+
+func onPlatform(name, synopsis string, run platformRun) *command {
+	path := os.Getenv(platform.SettingsVariable)
+	return &command{
+		name: name, synopsis: synopsis, usage: name + " [-settings FILE]",
+		flags: func(f *flag.FlagSet) { f.StringVar(&path, "settings", path, "settings file of the platform") },
+		run: func(ctx context.Context, _ []string) error {
+			return runOnPlatform(ctx, path, run)
+		},
+	}
+}
+
+// runOnPlatform runs a process until a signal asks it to drain. Its log never
+// blocks it.
+func runOnPlatform(ctx context.Context, path string, run platformRun) error {
+	settings, err := platform.Load(path)
+	if err != nil {
+		return err
+	}
+	sink := elmsink.New(os.Stdout)
+	logger := elmlog.NewJSON(settings.Instance, sink)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wait sync.WaitGroup
+	wait.Go(func() { sink.Run(background, func(n int64) { logger.Event(elmlog.LinesDropped, "lines", n) }) })
+	wait.Go(func() { watchSettings(background, path, logger) })
+	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	err = run(ctx, settings, logger)
+	release()
+	if err != nil {
+		logger.Event(elmlog.Failed, "error", err)
+	}
+	stop()
+	wait.Wait()
+	sink.Flush()
+	return err
+}
+
+// watchSettings checks the settings file again at each SIGHUP. Addresses and
+// bounds of a running process stay as they are.
+func watchSettings(ctx context.Context, path string, logger *elmlog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		if _, err := platform.Load(path); err != nil {
+			logger.Event(elmlog.SettingsRefused, "error", err)
+			continue
+		}
+		logger.Event(elmlog.SettingsReloaded, "path", path)
+	}
+}
--- /dev/null
+++ b/internal/expert/elmpilot/elmpilot.go
@@ -0,0 +1,178 @@
+// Package elmpilot runs the agent process on the users' platform. It stands
+// beside a rank of a lock-step group, passes questions and orders of other
+// agents on to it, and, if it is the group's planner, keeps the group's expert
+// map fitted to what is in demand.
+//
+// One agent of each group plans: the one that holds a lease in the platform's
+// store. The lease saves work, not safety: two planners at once do no harm, as
+// elmshift says.
+//
+// # Usage
+//
+//	pilot := elmpilot.New(settings, logger)
+//	err := pilot.Run(ctx)
+package elmpilot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/expert/elmplan"
+	"github.com/elmcove/elmcove/internal/expert/elmrank"
+	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/platform"
+)
+
+// ErrPilot reports that the agent can't run.
+var ErrPilot = errors.New("pilot")
+
+const (
+	// callTimeout bounds a call to a rank or its agent: they answer within a
+	// few milliseconds, or not at all.
+	callTimeout = 250 * time.Millisecond
+	// roundEvery is the time between two looks at the group.
+	roundEvery = 500 * time.Millisecond
+	// serverTimeout bounds slow callers of the agent.
+	serverTimeout = 5 * time.Second
+	// decay is the part of the demand that is remembered after a round. A
+	// shift of demand is followed within about two seconds.
+	decay = 0.7
+	// worthwhile is the least gain of a new map, as a part of the mean load.
+	worthwhile = 0.12
+	// healRounds is the number of rounds for which a rank must be seen to hold
+	// the same pass before the group is released: longer than a change takes.
+	healRounds = 4
+	// changeTimeout bounds a change up to the point where ranks are armed.
+	changeTimeout = 3 * time.Second
+	// pauseRest is the pause before a rank is asked again.
+	pauseRest = 30 * time.Millisecond
+	// lead is the number of passes from the last known one to a change. Ranks
+	// are armed meanwhile, so that the group does not wait.
+	lead = 3
+)
+
+// Pilot is the agent process beside a rank.
+type Pilot struct {
+	settings platform.Settings
+	logger   *elmlog.Logger
+	meter    *elmmeter.Meter
+	store    *platform.Store
+	ranks    *platform.Ranks
+	group    *group
+	seat     *seat
+}
+
+// New returns an agent that is not running yet.
+func New(settings platform.Settings, logger *elmlog.Logger) *Pilot {
+	store := platform.NewStore(settings.Store)
+	return &Pilot{
+		settings: settings, logger: logger, meter: elmmeter.New(), store: store,
+		ranks: platform.NewRanks(callTimeout),
+		group: newGroup(),
+		seat:  newSeat(store, settings, logger),
+	}
+}
+
+// Run serves until the context ends.
+func (p *Pilot) Run(ctx context.Context) error {
+	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.Ports[0]))
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrPilot, err)
+	}
+	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: serverTimeout, ErrorLog: p.logger.Standard()}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	p.logger.Event(elmlog.Started, "beside", p.settings.Beside, "service", p.settings.Service)
+	go p.plan(ctx)
+	select {
+	case err = <-failed:
+		return fmt.Errorf("%w: %w", ErrPilot, err)
+	case <-ctx.Done():
+	}
+	p.logger.Event(elmlog.Stopping)
+	p.seat.leave()
+	_ = server.Close() // Callers ask the rank itself.
+	p.logger.Event(elmlog.Stopped)
+	return nil
+}
+
+// plan looks at the group again and again while this agent is its planner.
+func (p *Pilot) plan(ctx context.Context) {
+	ticker := time.NewTicker(roundEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !p.seat.hold(ctx) {
+			p.group.forget()
+			continue
+		}
+		p.round(ctx)
+	}
+}
+
+// round looks at all ranks and acts on what it sees.
+func (p *Pilot) round(ctx context.Context) {
+	service, ok := p.seat.service(ctx)
+	if !ok || service.Engine == nil || service.Engine.Sets == 0 {
+		return
+	}
+	view, ok := p.look(ctx, *service.Engine)
+	if !ok {
+		return
+	}
+	if held := p.group.stuck(view); len(held) > 0 {
+		p.heal(ctx, view, held)
+		return
+	}
+	weights := p.group.weigh(view, *service.Engine)
+	current, ok := p.currentMap(ctx, view, *service.Engine)
+	if !ok || weights == nil {
+		return
+	}
+	next := elmplan.New(service.Engine.Places, service.Engine.Spare).Improve(current, weights)
+	before, after := elmplan.Peak(current, weights), elmplan.Peak(next, weights)
+	p.logger.Event(elmlog.MapPlanned, "epoch", view.epoch, "map", view.version, "peak", before, "planned", after)
+	if before-after < worthwhile {
+		return
+	}
+	p.change(ctx, view, current, next)
+}
+
+// currentMap returns the map in use: the one with which a group opens, one that
+// this agent has planned, or else what the ranks say.
+func (p *Pilot) currentMap(ctx context.Context, v view, e elmcatalog.Engine) (elmrank.Map, bool) {
+	if v.version == 0 {
+		return elmrank.First(e.Sets, e.Experts, len(v.reports)), true
+	}
+	if m, ok := p.group.maps[v.version]; ok {
+		return m, true
+	}
+	m := make(elmrank.Map, e.Sets)
+	for s := range m {
+		m[s] = make([][]int, len(v.reports))
+	}
+	for r, address := range v.addresses {
+		version, experts, err := p.ranks.Held(ctx, address)
+		if err != nil || version != v.version || len(experts) != e.Sets {
+			p.logger.Event(elmlog.MapAbandoned, "rank", r, "version", version, "error", err)
+			return nil, false
+		}
+		for s := range experts {
+			m[s][r] = experts[s]
+		}
+	}
+	p.group.maps[v.version] = m
+	return m, true
+}
--- /dev/null
+++ b/internal/expert/elmplan/elmplan_test.go
@@ -0,0 +1,93 @@
+package elmplan_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/elmcove/elmcove/internal/expert/elmplan"
+	"github.com/elmcove/elmcove/internal/expert/elmrank"
+)
+
+type size struct{ sets, experts, ranks, places, spare int }
+
+var sizes = map[string]size{
+	"twelve ranks":      {4, 72, 12, 8, 3},
+	"sixty-three ranks": {8, 252, 63, 5, 3},
+}
+
+// demand draws the popularity of experts: a few are asked for most.
+func demand(s size, seed uint64) elmplan.Weights {
+	random := rand.New(rand.NewPCG(seed, 1))
+	w := make(elmplan.Weights, s.sets)
+	for i := range w {
+		order := random.Perm(s.experts)
+		w[i] = make([]float64, s.experts)
+		for rank, e := range order {
+			w[i][e] = 1000 / math.Pow(float64(rank+1), 1.1)
+		}
+	}
+	return w
+}
+
+func checkMap(t *testing.T, s size, before, after elmrank.Map) {
+	t.Helper()
+	for set := range after {
+		copies := make([]int, s.experts)
+		for r, experts := range after[set] {
+			if len(experts) > s.places {
+				t.Fatalf("set %d rank %d holds %d experts, places %d", set, r, len(experts), s.places)
+			}
+			added := 0
+			for _, e := range experts {
+				copies[e]++
+				if !slices.Contains(before[set][r], e) {
+					added++
+				}
+			}
+			if added > s.spare {
+				t.Fatalf("set %d rank %d gets %d new experts, spare %d", set, r, added, s.spare)
+			}
+		}
+		if slices.Min(copies) < 1 {
+			t.Fatalf("set %d: an expert is on no rank", set)
+		}
+	}
+}
+
+func TestImprove(t *testing.T) {
+	for name, s := range sizes {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				w := demand(s, seed)
+				current := elmrank.First(s.sets, s.experts, s.ranks)
+				planner := elmplan.New(s.places, s.spare)
+				first := elmplan.Peak(current, w)
+				for range 4 {
+					next := planner.Improve(current, w)
+					checkMap(t, s, current, next)
+					if elmplan.Peak(next, w) > elmplan.Peak(current, w)+1e-9 {
+						t.Fatalf("seed %d: the plan is worse", seed)
+					}
+					current = next
+				}
+				if last := elmplan.Peak(current, w); last > 0.6*first {
+					t.Errorf("seed %d: peak %.2f of %.2f before", seed, last, first)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkImprove(b *testing.B) {
+	for name, s := range sizes {
+		b.Run(name, func(b *testing.B) {
+			w := demand(s, 1)
+			current := elmrank.First(s.sets, s.experts, s.ranks)
+			for b.Loop() {
+				elmplan.New(s.places, s.spare).Improve(current, w)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/expert/elmshift/world_test.go
@@ -0,0 +1,135 @@
+package elmshift_test
+
+import (
+	"fmt"
+
+	"github.com/elmcove/elmcove/internal/expert/elmrank"
+	"github.com/elmcove/elmcove/internal/expert/elmshift"
+)
+
+// rank is a rank of the group as PROTOCOL.md describes it.
+type rank struct {
+	accepted int64
+	highest  int64
+	prepared int64
+	armed    int64
+	armStep  int64
+	held     int64
+	version  int64
+}
+
+// group is a group of ranks in lock-step. Its observer is the check of mixed
+// maps at the beginning of each pass.
+type group struct {
+	epoch int64
+	step  int64
+	ranks []rank
+	// late are orders that were sent without an answer and may still be
+	// carried out.
+	late  []elmshift.Send
+	mixed string
+}
+
+func newGroup(n int) *group {
+	return &group{epoch: 1, step: 10, ranks: make([]rank, n)}
+}
+
+func (g *group) report(r int) elmrank.Report {
+	k := g.ranks[r]
+	return elmrank.Report{
+		Epoch: g.epoch, Rank: r, Open: true, Step: g.step, Accepted: k.accepted,
+		Map: k.version, Prepared: k.prepared, Armed: k.armed, Held: k.held,
+	}
+}
+
+func (g *group) reports() []elmrank.Report {
+	var list []elmrank.Report
+	for r := range g.ranks {
+		list = append(list, g.report(r))
+	}
+	return list
+}
+
+// carryOut does what a rank does with an order.
+func (g *group) carryOut(c elmshift.Send) elmrank.Outcome {
+	k, o := &g.ranks[c.Rank], c.Order
+	if o.Epoch != g.epoch || o.Expected >= 0 && o.Expected != k.accepted {
+		return elmrank.Rejected
+	}
+	switch o.Operation {
+	case elmrank.Prepare:
+		if o.Version <= k.highest || k.armed != 0 {
+			return elmrank.Rejected
+		}
+		k.highest, k.prepared = o.Version, o.Version
+	case elmrank.Arm:
+		if k.armed == o.Version {
+			return elmrank.Accepted
+		}
+		if k.prepared != o.Version || o.Step <= g.step || k.armed != 0 {
+			return elmrank.Rejected
+		}
+		k.armed, k.armStep = o.Version, o.Step
+	case elmrank.Disarm:
+		if k.version == o.Version {
+			return elmrank.Rejected
+		}
+		if k.armed != o.Version {
+			return elmrank.Accepted
+		}
+		k.armed = 0
+	case elmrank.Hold:
+		if o.Step <= g.step || k.held != 0 {
+			return elmrank.Rejected
+		}
+		k.held = o.Step
+	case elmrank.Go:
+		if k.held != o.Step {
+			return elmrank.Accepted
+		}
+		k.held = 0
+	}
+	k.accepted++
+	return elmrank.Accepted
+}
+
+// pass begins the next pass unless a rank holds it.
+func (g *group) pass() bool {
+	for _, k := range g.ranks {
+		if k.held == g.step+1 {
+			return false
+		}
+	}
+	g.step++
+	trace("pass %d begins: %+v", g.step, g.ranks)
+	for r := range g.ranks {
+		k := &g.ranks[r]
+		if k.armed != 0 && k.armStep == g.step {
+			k.version, k.armed = k.armed, 0
+		}
+	}
+	for r, k := range g.ranks {
+		if k.version != g.ranks[0].version && g.mixed == "" {
+			g.mixed = fmt.Sprintf("pass %d: rank 0 has map %d, rank %d has %d", g.step, g.ranks[0].version, r, k.version)
+		}
+	}
+	return true
+}
+
+// reform breaks the group and opens it in a new epoch.
+func (g *group) reform() {
+	g.epoch++
+	for r := range g.ranks {
+		k := &g.ranks[r]
+		k.version, k.prepared, k.armed, k.held = 0, 0, 0, 0
+	}
+}
+
+// flushLate carries a late order out.
+func (g *group) flushLate(i int) {
+	c := g.late[i]
+	g.late = append(g.late[:i], g.late[i+1:]...)
+	c2 := c
+	c2.Order.Map = nil
+	trace("late %+v: %v", c2, g.carryOut(c))
+}
--- /dev/null
+++ b/internal/forward/elmbelief/elmbelief.go
@@ -0,0 +1,224 @@
+// Package elmbelief decides what a process believes of the platform: the
+// configuration in force, the endpoints that may get work, the data centres
+// that are withdrawn, and how old all that is.
+//
+// The decisions are pure: Update takes a message and returns the next Belief and
+// the notices that explain what changed. Times come from a clock that counts
+// suspension. The age of a belief runs from the sending of the read that it
+// comes from.
+//
+// # Usage
+//
+//	belief := elmbelief.New()
+//	belief, notices := belief.Update(elmbelief.Read{Sent: sent, Revision: 9, Whole: true, Changes: changes})
+//	if belief.Age(now) > limit { refuse() }
+package elmbelief
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
+	"github.com/elmcove/elmcove/internal/forward/elmendpoint"
+)
+
+const (
+	// outage is the time without an answer after which missing endpoints may
+	// have expired only because they could not renew: two heartbeats.
+	outage = 2400 * time.Millisecond
+	// returnGrace is the time in which endpoints whose entries expired during
+	// an outage write them again.
+	returnGrace = 2 * time.Second
+)
+
+// Member is an endpoint with what the belief adds.
+type Member struct {
+	elmendpoint.Endpoint
+	// ColdUntil is the time to which it stays cold.
+	ColdUntil time.Duration
+	// goneAt is the time at which an endpoint that went missing during an
+	// outage counts as gone, or 0.
+	goneAt time.Duration
+}
+
+// Belief is what a process believes. It is immutable.
+type Belief struct {
+	catalog   elmcatalog.Catalog
+	members   map[string]Member
+	withdrawn map[string]bool
+	own       map[string]string
+	sent      time.Duration
+	revision  int64
+	known     bool
+}
+
+// New returns the belief of a process that knows nothing.
+func New() Belief { return Belief{} }
+
+// Catalog returns the configuration in force.
+func (b Belief) Catalog() elmcatalog.Catalog { return b.catalog }
+
+// Known reports whether a configuration was ever read.
+func (b Belief) Known() bool { return b.known && b.catalog.Version() > 0 }
+
+// Revision returns the revision of the store up to which all is known.
+func (b Belief) Revision() int64 { return b.revision }
+
+// Sent returns the time at which the newest answered read was sent.
+func (b Belief) Sent() time.Duration { return b.sent }
+
+// Age returns the time since the newest answered read was sent.
+func (b Belief) Age(now time.Duration) time.Duration { return now - b.sent }
+
+// Withdrawn reports whether a data centre is to get no work.
+func (b Belief) Withdrawn(datacentre string) bool { return b.withdrawn[datacentre] }
+
+// Own returns the system's own keys with a prefix, and their values.
+func (b Belief) Own(prefix string) map[string]string {
+	found := map[string]string{}
+	for key, value := range b.own {
+		if name, ok := strings.CutPrefix(key, prefix); ok {
+			found[name] = value
+		}
+	}
+	return found
+}
+
+// Members returns the endpoints of a service that may get work, by identity.
+// Those that leave, or whose data centre is withdrawn, are left out.
+func (b Belief) Members(service string, now time.Duration) []Member {
+	var list []Member
+	for _, m := range b.members {
+		gone := m.goneAt > 0 && now >= m.goneAt
+		if m.Service == service && !m.Leaving && !gone && !b.withdrawn[m.Datacentre] {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Ranks returns all endpoints of a service, those that leave included.
+func (b Belief) Ranks(service string) []Member {
+	var list []Member
+	for _, m := range b.members {
+		if m.Service == service {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Update applies a message.
+func (b Belief) Update(m Message) (Belief, []Notice) {
+	switch m := m.(type) {
+	case Read:
+		return b.read(m)
+	case Confirmed:
+		b.sent = max(b.sent, m.Sent)
+		return b, nil
+	}
+	return b, nil
+}
+
+func (b Belief) read(m Read) (Belief, []Notice) {
+	if m.Revision < b.revision {
+		return b, nil
+	}
+	lost := b.known && m.Sent-b.sent > outage
+	next := b
+	next.members = maps.Clone(b.members)
+	next.withdrawn = maps.Clone(b.withdrawn)
+	next.own = maps.Clone(b.own)
+	if next.members == nil || m.Whole {
+		next.withdrawn, next.own = map[string]bool{}, map[string]string{}
+	}
+	if next.members == nil {
+		next.members = map[string]Member{}
+	}
+	var notices []Notice
+	seen := map[string]bool{}
+	for _, c := range m.Changes {
+		notices = append(notices, next.apply(c, m.Sent, lost, seen)...)
+	}
+	if m.Whole {
+		notices = append(notices, next.dropMissing(m.Sent, lost, seen)...)
+	}
+	next.sent, next.revision, next.known = max(b.sent, m.Sent), m.Revision, true
+	return next, notices
+}
+
+// apply changes the maps of b, which are copies.
+func (b *Belief) apply(c Change, at time.Duration, lost bool, seen map[string]bool) []Notice {
+	switch c := c.(type) {
+	case Configured:
+		if c.Catalog.Version() <= b.catalog.Version() {
+			return nil
+		}
+		b.catalog = c.Catalog
+		return []Notice{Adopted{Version: c.Catalog.Version()}}
+	case Listed:
+		seen[c.Endpoint.ID] = true
+		return b.list(c.Endpoint, at)
+	case Unlisted:
+		return b.unlist(c.ID, at, lost)
+	case Withdrawn:
+		if b.withdrawn[c.Datacentre] == c.Withdrawn {
+			return nil
+		}
+		b.withdrawn[c.Datacentre] = c.Withdrawn
+		return []Notice{Moved{Datacentre: c.Datacentre, Withdrawn: c.Withdrawn}}
+	case Owned:
+		b.own[c.Name] = c.Value
+	case Disowned:
+		delete(b.own, c.Name)
+	}
+	return nil
+}
+
+func (b *Belief) list(e elmendpoint.Endpoint, at time.Duration) []Notice {
+	old, known := b.members[e.ID]
+	m := Member{Endpoint: e, ColdUntil: at + e.Cold}
+	b.members[e.ID] = m
+	switch {
+	case !known || old.Born != e.Born || old.Address != e.Address:
+		return []Notice{Appeared{Endpoint: e}}
+	case e.Leaving && !old.Leaving:
+		return []Notice{Leaving{Endpoint: e}}
+	}
+	return nil
+}
+
+func (b *Belief) unlist(id string, at time.Duration, lost bool) []Notice {
+	m, ok := b.members[id]
+	if !ok {
+		return nil
+	}
+	if !lost {
+		delete(b.members, id)
+		return []Notice{Gone{Endpoint: m.Endpoint}}
+	}
+	if m.goneAt == 0 {
+		m.goneAt = at + returnGrace
+		b.members[id] = m
+	}
+	return nil
+}
+
+func (b *Belief) dropMissing(at time.Duration, lost bool, seen map[string]bool) []Notice {
+	var notices []Notice
+	for _, id := range slices.Sorted(maps.Keys(b.members)) {
+		if seen[id] {
+			continue
+		}
+		waiting := b.members[id].goneAt
+		if waiting > 0 && at < waiting {
+			continue
+		}
+		notices = append(notices, b.unlist(id, at, lost && waiting == 0)...)
+	}
+	return notices
+}
--- /dev/null
+++ b/internal/forward/elmrouter/entries.go
@@ -0,0 +1,176 @@
+package elmrouter
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/observe/elmclock"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/wire/elmpeer"
+	"github.com/elmcove/elmcove/platform"
+)
+
+const (
+	// entriesKey precedes the names of entries in the store.
+	entriesKey = "entries/"
+	// entryLease is how long an entry counts after it was last heard of.
+	entryLease = 10 * time.Second
+	// keepEvery is the time between two renewals.
+	keepEvery = 3 * time.Second
+	// registerPause is the pause after a registration that failed.
+	registerPause = time.Second
+)
+
+// register keeps this entry's address in the store, so that others find it.
+func (r *Router) register(ctx context.Context) {
+	lease := int64(0)
+	for ctx.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = r.enter(ctx)
+		} else if err = r.store.Keep(ctx, lease); errors.Is(err, platform.ErrLease) {
+			lease = 0
+			continue
+		}
+		rest := keepEvery
+		if err != nil {
+			r.logger.Event(elmlog.StoreDown, "call", "register", "error", err)
+			rest = registerPause
+		}
+		wait(ctx, rest)
+	}
+}
+
+func (r *Router) enter(ctx context.Context) (int64, error) {
+	lease, err := r.store.Lease(ctx, max(entryLease, r.settings.Lease))
+	if err != nil {
+		return 0, err
+	}
+	key := platform.OwnPrefix + entriesKey + r.settings.Instance
+	if _, err := r.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(r.internal()), Lease: lease}}); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
+
+// receive takes what the other entries tell.
+func (r *Router) receive(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.peers.Run(ctx, r.heard)
+		if err != nil {
+			r.logger.Event(elmlog.LinkDown, "error", err)
+			wait(ctx, registerPause)
+		}
+	}
+}
+
+func (r *Router) heard(l *elmpeer.Loads) {
+	loads := map[string]int{}
+	for _, e := range l.GetLoads() {
+		loads[e.GetEndpoint()] = int(e.GetOpen())
+	}
+	now := elmclock.Now()
+	r.mutex.Lock()
+	r.placer.SetPeer(l.GetEntry(), loads, now)
+	r.mutex.Unlock()
+	for _, name := range l.GetBroken() {
+		r.setBroken(name, true, "told by "+l.GetEntry())
+	}
+}
+
+// tell tells the other entries how much work this one has where.
+func (r *Router) tell(ctx context.Context) {
+	quiet := false
+	for ctx.Err() == nil {
+		wait(ctx, tellEvery)
+		others := r.others()
+		r.peers.SetOthers(others)
+		message := &elmpeer.Loads{Entry: r.settings.Instance}
+		r.mutex.Lock()
+		r.placer.SetEntries(len(others) + 1)
+		for id, open := range r.placer.Loads() {
+			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
+		}
+		r.mutex.Unlock()
+		if len(message.Loads) == 0 && quiet {
+			continue
+		}
+		quiet = len(message.Loads) == 0
+		if err := r.peers.Tell(message); err != nil {
+			r.meter.Count("elmcove_tell_failures_total", "entry", r.settings.Instance)
+		}
+	}
+}
+
+// others returns the addresses of the other entries.
+func (r *Router) others() []string {
+	var list []string
+	for name, address := range r.follower.Belief().Own(entriesKey) {
+		if name != r.settings.Instance {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+func wait(ctx context.Context, rest time.Duration) {
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// reportTimeout bounds the question to a rank whether its group is open.
+const reportTimeout = 500 * time.Millisecond
+
+// pollEvery is the time between two such questions.
+const pollEvery = 400 * time.Millisecond
+
+// setBroken takes the news that a group is broken or open. While it is broken,
+// one rank in turn is asked for its state.
+func (r *Router) setBroken(service string, broken bool, cause string) {
+	now := elmclock.Now()
+	r.mutex.Lock()
+	news := r.placer.SetBroken(service, broken, now)
+	poll := broken && !r.polling[service]
+	if poll {
+		r.polling[service] = true
+	}
+	r.mutex.Unlock()
+	if news {
+		event := elmlog.GroupOpen
+		if broken {
+			event = elmlog.GroupBroken
+		}
+		r.logger.Event(event, "service", service, "cause", cause)
+	}
+	if poll {
+		go r.pollGroup(service)
+	}
+}
+
+// pollGroup asks ranks until one says that the group is open.
+func (r *Router) pollGroup(service string) {
+	defer func() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		delete(r.polling, service)
+	}()
+	for turn := 0; !r.draining.Load(); turn++ {
+		wait(context.Background(), pollEvery)
+		members := r.follower.Belief().Members(service, elmclock.Now())
+		if len(members) == 0 {
+			continue
+		}
+		report, err := r.ranks.Report(context.Background(), members[turn%len(members)].Address)
+		if err == nil && report.Open {
+			r.setBroken(service, false, "reported by "+members[turn%len(members)].ID)
+			return
+		}
+		r.setBroken(service, true, "still broken")
+	}
+}
+
--- a/internal/observe/elmlog/elmlog.go
+++ b/internal/observe/elmlog/elmlog.go
@@ -9,6 +9,7 @@
 
 import (
 	"io"
+	"log"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -28,6 +29,16 @@
 	})}
 }
 
+// NewJSON returns a Logger that writes each event as a line of JSON.
+func NewJSON(name string, w io.Writer) *Logger {
+	return &Logger{logger: hclog.New(&hclog.LoggerOptions{Name: name, Output: w, JSONFormat: true})}
+}
+
+// Standard returns a logger of the standard library that writes to this one.
+func (l *Logger) Standard() *log.Logger {
+	return l.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn})
+}
+
 // Discard returns a Logger that writes nothing.
 func Discard() *Logger {
 	return &Logger{logger: hclog.NewNullLogger()}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -16,11 +16,17 @@
 	Stopping            Event = 1002
 	Stopped             Event = 1003
 	Failed              Event = 1004
+	SettingsReloaded    Event = 1005
+	SettingsRefused     Event = 1006
+	LinesDropped        Event = 1007
+	ReadinessChanged    Event = 1008
 	ConfigAdopted       Event = 1101
 	ConfigRefused       Event = 1102
 	StoreDown           Event = 1201
 	StoreBack           Event = 1202
 	RosterSuspect       Event = 1203
+	NeighbourUsed       Event = 1204
+	StoreRead           Event = 1205
 	LinkUp              Event = 1301
 	LinkDown            Event = 1302
 	LinkRefused         Event = 1303
@@ -29,9 +35,26 @@
 	RequestRetried      Event = 1402
 	RequestAborted      Event = 1403
 	RequestAbandoned    Event = 1404
+	RequestFinished     Event = 1405
+	RequestFailed       Event = 1406
+	RequestResumed      Event = 1407
+	RequestPlaced       Event = 1408
 	EndpointCold        Event = 1501
 	EndpointFailed      Event = 1502
 	RecordFailed        Event = 1503
+	EndpointListed      Event = 1511
+	EndpointLeaving     Event = 1512
+	EndpointGone        Event = 1513
+	EndpointUnreadable  Event = 1514
+	DatacentreWithdrawn Event = 1515
+	DatacentreReturned  Event = 1516
+	GroupBroken         Event = 1517
+	GroupOpen           Event = 1518
+	PlannerChosen       Event = 1521
+	MapPlanned          Event = 1522
+	MapChanged          Event = 1523
+	MapAbandoned        Event = 1524
+	GroupRepaired       Event = 1525
 	ProcessThawed       Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -56,6 +79,29 @@
 	ConfigRefused:       {hclog.Error, "configuration revision can't be used", "The process keeps its last good revision. Apply a valid one."},
 	StoreDown:           {hclog.Warn, "key-value service unavailable", "Repeatable requests are still served. Keyed requests are refused until it is back."},
 	StoreBack:           {hclog.Info, "key-value service is back", adviceNone},
+	SettingsReloaded:    {hclog.Info, "settings reloaded", adviceNone},
+	SettingsRefused:     {hclog.Error, "settings can't be used", "The process keeps its last good settings. Read the error and mend the file."},
+	LinesDropped:        {hclog.Warn, "log lines left out", "None if it is rare. Otherwise read the log faster."},
+	ReadinessChanged:    {hclog.Info, "readiness changed", adviceNone},
+	NeighbourUsed:       {hclog.Info, "platform's state taken from a neighbour", "Check the path from this instance to the store."},
+	StoreRead:           {hclog.Info, "store read in full", adviceNone},
+	RequestFinished:     {hclog.Info, "request finished", adviceNone},
+	RequestFailed:       {hclog.Info, "request failed and may have run", "Follow its endpoint and error."},
+	RequestResumed:      {hclog.Info, "stream resumed elsewhere", adviceNone},
+	RequestPlaced:       {hclog.Info, "request placed", adviceNone},
+	EndpointListed:      {hclog.Info, "endpoint listed", adviceNone},
+	EndpointLeaving:     {hclog.Info, "endpoint is leaving", adviceNone},
+	EndpointGone:        {hclog.Info, "endpoint's entry removed", adviceNone},
+	EndpointUnreadable:  {hclog.Warn, "endpoint's entry can't be read", "Find who wrote the key. It names no endpoint."},
+	DatacentreWithdrawn: {hclog.Info, "data centre withdrawn", adviceNone},
+	DatacentreReturned:  {hclog.Info, "data centre taken back", adviceNone},
+	GroupBroken:         {hclog.Warn, "group is broken", "Find the endpoint that is blamed."},
+	GroupOpen:           {hclog.Info, "group is open", adviceNone},
+	PlannerChosen:       {hclog.Info, "this agent plans the group's expert map", adviceNone},
+	MapPlanned:          {hclog.Info, "expert map planned", adviceNone},
+	MapChanged:          {hclog.Info, "expert map changes", adviceNone},
+	MapAbandoned:        {hclog.Warn, "change of the expert map given up", "None if it is rare. Otherwise look at the ranks that it waited for."},
+	GroupRepaired:       {hclog.Warn, "group released that an earlier planner had held", adviceNone},
 	RosterSuspect:       {hclog.Warn, "instance list shrank suddenly and is not believed", "Check the platform's instance list. Links decide until it recovers."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
