--- /dev/null
+++ b/internal/forward/elmevents/elmevents_test.go
@@ -0,0 +1,60 @@
+package elmevents_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/elmcove/elmcove/internal/forward/elmevents"
+)
+
+const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+func TestFeedInAnyParts(t *testing.T) {
+	for size := 1; size <= len(stream); size++ {
+		var s elmevents.Splitter
+		var got strings.Builder
+		for rest := stream; rest != ""; {
+			n := min(size, len(rest))
+			got.Write(s.Feed([]byte(rest[:n])))
+			rest = rest[n:]
+		}
+		if got.String() != stream || s.Last() != "3" || len(s.Rest()) != 0 {
+			t.Fatalf("parts of %d: got %q, last %q", size, got.String(), s.Last())
+		}
+	}
+}
+
+func TestFeed(t *testing.T) {
+	for name, c := range map[string]struct {
+		parts []string
+		want  string
+		last  string
+		rest  string
+	}{
+		"part of an event waits":        {[]string{"id: 1\ndata: a\n\nid: 2\nda"}, "id: 1\ndata: a\n\n", "1", "id: 2\nda"},
+		"events that came before":       {[]string{"id: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"}, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", "3", ""},
+		"events without identifier":     {[]string{"data: x\n\n: comment\n\n"}, "data: x\n\n: comment\n\n", "", ""},
+		"carriage returns":              {[]string{"id: 7\r\ndata: x\r\n\r\n"}, "id: 7\r\ndata: x\r\n\r\n", "7", ""},
+		"identifier that isn't a count": {[]string{"id: x\n\nid: x\n\n"}, "id: x\n\nid: x\n\n", "x", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s elmevents.Splitter
+			var got strings.Builder
+			for _, p := range c.parts {
+				got.Write(s.Feed([]byte(p)))
+			}
+			if got.String() != c.want || s.Last() != c.last || string(s.Rest()) != c.rest {
+				t.Errorf("got %q, last %q, rest %q", got.String(), s.Last(), s.Rest())
+			}
+		})
+	}
+}
+
+func TestRestartDropsTheUnfinishedEvent(t *testing.T) {
+	var s elmevents.Splitter
+	s.Feed([]byte("id: 1\ndata: a\n\nid: 2\ndata: b"))
+	s.Restart()
+	if got := string(s.Feed([]byte("id: 2\ndata: b\n\n"))); got != "id: 2\ndata: b\n\n" {
+		t.Errorf("got %q", got)
+	}
+}
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -62,6 +62,15 @@
 	return func(f *Follower) { f.neighbours = ask }
 }
 
+// WithGrace sets for how long endpoints that leave, and data centres that were
+// withdrawn, may be sent work that no other can take.
+func WithGrace(leave, move time.Duration) Option {
+	return func(f *Follower) {
+		belief := f.Belief().WithGrace(leave, move)
+		f.belief.Store(&belief)
+	}
+}
+
 // New returns a Follower that knows nothing.
 func New(store *platform.Store, logger *elmlog.Logger, options ...Option) *Follower {
 	f := &Follower{
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -92,7 +92,8 @@
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	r.peers = elmpeers.New(r.internal(), settings.Seeds)
-	r.follower = elmfollower.New(r.store, logger, elmfollower.WithNeighbours(r.peers.Ask))
+	r.follower = elmfollower.New(r.store, logger, elmfollower.WithNeighbours(r.peers.Ask),
+		elmfollower.WithGrace(settings.Bounds.Leave, settings.Bounds.Withdraw))
 	r.exchange = elmexchange.New(elmexchange.WithAnswerTo(func(h http.Header) string {
 		return platform.ReadVerdict(http.StatusOK, h).Attempt
 	}))
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -173,4 +173,3 @@
 		r.setBroken(service, true, "still broken")
 	}
 }
-
--- a/internal/forward/elmrouter/fly.go
+++ b/internal/forward/elmrouter/fly.go
@@ -124,7 +124,11 @@
 	members := belief.Members(v.service.Name, now)
 	v.router.mutex.Lock()
 	defer v.router.mutex.Unlock()
-	v.member, v.verdict = v.router.placer.Pick(elmplace.Query{Service: v.service, Tried: c.Tried}, members, now)
+	query := elmplace.Query{Service: v.service, Tried: c.Tried}
+	v.member, v.verdict = v.router.placer.Pick(query, members, now)
+	if v.verdict == elmplace.Absent {
+		v.member, v.verdict = v.router.placer.Pick(query, belief.LastResort(v.service.Name, now), now)
+	}
 	if v.verdict != elmplace.Placed {
 		return elmflight.Unplaced{}
 	}
