Release a held group by deputies, avoid slow ranks, let returning callers wait

Change: each agent watches its own rank (free) and repairs a group that makes no passes; plans count a rank's pace and entries avoid slow ranks; requests of returning callers wait up to 1.6 s for a place; a planner that restarts takes its seat back; groups are asked every 150 ms.

Ruled out for the frozen planner: its rank can't be reached while its machine is frozen, so that nobody can tell whether it is armed; the repair waits until it is back.

--- a/internal/expert/elmpilot/change.go
+++ b/internal/expert/elmpilot/change.go
@@ -43,10 +43,12 @@
 		}
 		plan.Own = r
 	}
+	p.logger.Event(elmlog.GroupHeld, "epoch", v.epoch, "held", held, "own", plan.Own)
+	began := time.Now()
 	shift, commands := elmshift.Heal(plan, held, v.reports)
 	shift = p.conduct(ctx, v, shift, commands)
 	p.group.remember(v.epoch, shift)
-	p.logger.Event(elmlog.GroupRepaired, "epoch", v.epoch, "held", held, "phase", shift.State())
+	p.logger.Event(elmlog.GroupRepaired, "epoch", v.epoch, "held", held, "elapsed", time.Since(began))
 }
 
 func (p *Pilot) planOf(v view, current, next elmrank.Map) elmshift.Plan {
--- a/internal/expert/elmpilot/elmpilot.go
+++ b/internal/expert/elmpilot/elmpilot.go
@@ -25,6 +25,7 @@
 	"github.com/elmcove/elmcove/internal/expert/elmplan"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
+	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/platform"
@@ -49,9 +50,13 @@
 	worthwhile = 0.35
 	// target is the load of the most loaded rank at which planning stops.
 	target = 1.25
-	// healRounds is the number of rounds for which a rank must be seen to hold
-	// the same pass before the group is released: longer than a change takes.
-	healRounds = 4
+	// watchEvery is the time between two looks at the own rank.
+	watchEvery = 125 * time.Millisecond
+	// stallPatience is how long a group with work may make no pass before it is
+	// looked at: several times the longest pass. Each rank waits a little
+	// longer than the one before, so that one agent acts.
+	stallPatience = 500 * time.Millisecond
+	stallSpread   = 60 * time.Millisecond
 	// changeTimeout bounds a change up to the point where ranks are armed.
 	changeTimeout = 3 * time.Second
 	// pauseRest is the pause before a rank is asked again.
@@ -70,6 +75,7 @@
 	ranks    *platform.Ranks
 	group    *group
 	seat     *seat
+	stall    stall
 }
 
 // New returns an agent that is not running yet.
@@ -107,16 +113,21 @@
 	return nil
 }
 
-// plan looks at the group again and again while this agent is its planner.
+// plan looks at the group again and again while this agent is its planner, and
+// at its own rank in any case.
 func (p *Pilot) plan(ctx context.Context) {
-	ticker := time.NewTicker(roundEvery)
+	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		p.watch(ctx)
+		if turn%int(roundEvery/watchEvery) != 0 {
+			continue
+		}
 		if !p.seat.hold(ctx) {
 			p.group.forget()
 			continue
@@ -125,13 +136,42 @@
 	}
 }
 
+// watch looks at the own rank, which costs nothing. If the group makes no passes
+// though there is work, a planner may have held it and died.
+func (p *Pilot) watch(ctx context.Context) {
+	report, err := p.ranks.Report(ctx, p.settings.Beside)
+	if err != nil {
+		return
+	}
+	now := elmclock.Now()
+	patience := stallPatience + time.Duration(report.Rank)*stallSpread
+	if !p.stall.see(report, now) || now-p.stall.since < patience || now-p.stall.tried < patience {
+		return
+	}
+	p.stall.tried = now
+	service, ok := p.seat.service(ctx)
+	if !ok || service.Engine == nil {
+		return
+	}
+	view, ok := p.look(ctx)
+	held := view.held()
+	p.logger.Event(elmlog.GroupStalled, "epoch", report.Epoch, "step", report.Step, "since", now-p.stall.since,
+		"complete", ok, "held", held)
+	if !ok || len(held) == 0 {
+		return
+	}
+	if current, ok := p.currentMap(ctx, view, *service.Engine); ok {
+		p.heal(ctx, view, current, held)
+	}
+}
+
 // round looks at all ranks and acts on what it sees.
 func (p *Pilot) round(ctx context.Context) {
 	service, ok := p.seat.service(ctx)
 	if !ok || service.Engine == nil || service.Engine.Sets == 0 {
 		return
 	}
-	view, ok := p.look(ctx, *service.Engine)
+	view, ok := p.look(ctx)
 	if !ok {
 		return
 	}
@@ -139,16 +179,15 @@
 	if !ok {
 		return
 	}
-	if held := p.group.stuck(view); len(held) > 0 {
-		p.heal(ctx, view, current, held)
-		return
-	}
 	weights := p.group.weigh(view, *service.Engine)
 	if weights == nil {
 		return
 	}
-	next := elmplan.New(service.Engine.Places, service.Engine.Spare).WithTarget(target).Improve(current, weights)
-	before, after := elmplan.Peak(current, weights), elmplan.Peak(next, weights)
+	paces := view.paces()
+	p.seat.publish(ctx, view, paces)
+	planner := elmplan.New(service.Engine.Places, service.Engine.Spare).WithTarget(target).WithPaces(paces)
+	next := planner.Improve(current, weights)
+	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
 	if before-after < worthwhile {
 		return
 	}
--- a/internal/expert/elmpilot/group.go
+++ b/internal/expert/elmpilot/group.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/elmcove/elmcove/internal/expert/elmplan"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
@@ -16,11 +17,14 @@
 	epoch   int64
 	version int64
 	// highest is the highest version that a rank has.
-	highest   int64
-	own       int
+	highest int64
+	own     int
+	// addresses are where each rank is asked: at its agent, or itself.
 	addresses []string
-	reports   []elmrank.Report
-	counts    []elmrank.Counts
+	// ranks are the ranks' own addresses.
+	ranks   []string
+	reports []elmrank.Report
+	counts  []elmrank.Counts
 }
 
 // group is what is remembered of a group from round to round.
@@ -28,8 +32,6 @@
 	maps    map[int64]elmrank.Map
 	weights elmplan.Weights
 	last    []elmrank.Counts
-	// held counts the rounds for which a rank was seen to hold a pass.
-	held map[int]hold
 	// version is the highest that was used, and step the last pass that was
 	// held in the epoch.
 	version int64
@@ -37,13 +39,46 @@
 	step    int64
 }
 
-type hold struct {
-	step   int64
-	rounds int
+// stall remembers since when the own rank makes no passes.
+type stall struct {
+	step  int64
+	epoch int64
+	since time.Duration
+	tried time.Duration
+}
+
+// see takes a report and returns whether the rank has work and makes no passes.
+func (s *stall) see(r elmrank.Report, now time.Duration) bool {
+	busy := r.Open && r.Running+r.Waiting > 0
+	if !busy || r.Step != s.step || r.Epoch != s.epoch {
+		s.step, s.epoch, s.since = r.Step, r.Epoch, now
+		return false
+	}
+	return true
+}
+
+// held returns the passes that ranks hold the group from.
+func (v view) held() map[int]int64 {
+	found := map[int]int64{}
+	for r, report := range v.reports {
+		if report.Held > report.Step {
+			found[r] = report.Held
+		}
+	}
+	return found
+}
+
+// paces returns how slow each rank is.
+func (v view) paces() []float64 {
+	list := make([]float64, len(v.reports))
+	for r, report := range v.reports {
+		list[r] = max(report.Pace, 1)
+	}
+	return list
 }
 
 func newGroup() *group {
-	return &group{maps: map[int64]elmrank.Map{}, held: map[int]hold{}}
+	return &group{maps: map[int64]elmrank.Map{}}
 }
 
 // forget drops what another planner may change.
@@ -55,7 +90,7 @@
 
 // look asks all ranks for their reports and counts, through their agents where
 // they answer. It returns false unless the group is open and complete.
-func (p *Pilot) look(ctx context.Context, _ elmcatalog.Engine) (view, bool) {
+func (p *Pilot) look(ctx context.Context) (view, bool) {
 	members := p.seat.members(ctx)
 	type answer struct {
 		address string
@@ -87,13 +122,14 @@
 		if v.reports == nil {
 			v.epoch, v.version = a.report.Epoch, a.report.Map
 			n := a.report.Size
-			v.addresses, v.reports, v.counts = make([]string, n), make([]elmrank.Report, n), make([]elmrank.Counts, n)
+			v.addresses, v.ranks = make([]string, n), make([]string, n)
+			v.reports, v.counts = make([]elmrank.Report, n), make([]elmrank.Counts, n)
 		}
 		if r := a.report.Rank; r < 0 || r >= len(v.reports) || a.report.Epoch != v.epoch || a.report.Map != v.version {
 			return v, false
 		}
 		r := a.report.Rank
-		v.addresses[r], v.reports[r], v.counts[r] = a.address, a.report, a.counts
+		v.addresses[r], v.ranks[r], v.reports[r], v.counts[r] = a.address, members[i], a.report, a.counts
 		v.highest = max(v.highest, a.report.Map, a.report.Prepared, a.report.Armed)
 		if members[i] == p.settings.Beside {
 			v.own = r
@@ -116,37 +152,11 @@
 	return net.JoinHostPort(host, strconv.Itoa(p.settings.Ports[0]))
 }
 
-// stuck returns the passes that ranks have held for too long.
-func (g *group) stuck(v view) map[int]int64 {
-	found := map[int]int64{}
-	long := false
-	for r, report := range v.reports {
-		if report.Held == 0 || report.Held <= report.Step {
-			delete(g.held, r)
-			continue
-		}
-		h := g.held[r]
-		if h.step != report.Held {
-			h = hold{step: report.Held}
-		}
-		h.rounds++
-		g.held[r] = h
-		found[r] = report.Held
-		long = long || h.rounds >= healRounds
-	}
-	if !long {
-		return nil
-	}
-	return found
-}
-
 // weigh adds what was chosen since the last round to the demand, or returns nil
 // while nothing is known.
 func (g *group) weigh(v view, e elmcatalog.Engine) elmplan.Weights {
 	if len(g.last) != len(v.counts) {
 		g.last = make([]elmrank.Counts, len(v.counts))
-		copy(g.last, v.counts)
-		return nil
 	}
 	if g.weights == nil {
 		g.weights = make(elmplan.Weights, e.Sets)
--- a/internal/expert/elmpilot/seat.go
+++ b/internal/expert/elmpilot/seat.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
+	"github.com/elmcove/elmcove/internal/forward/elmslow"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
@@ -26,6 +28,8 @@
 	// catalogEvery is the time between two reads of the engine's layout, which
 	// rarely changes.
 	catalogEvery = 15 * time.Second
+	// slowPace is the pace from which entries avoid a rank.
+	slowPace = 1.5
 	// releaseTimeout bounds the giving back of the lease at the end.
 	releaseTimeout = 300 * time.Millisecond
 )
@@ -45,6 +49,8 @@
 	ranks   []string
 	read    time.Duration
 	catalog elmcatalog.Catalog
+	// slow is the list of slow ranks that was written last.
+	slow string
 }
 
 func newSeat(store *platform.Store, settings platform.Settings, logger *elmlog.Logger) *seat {
@@ -64,11 +70,20 @@
 	}
 	key := platform.OwnPrefix + plannerKey + s.settings.Service
 	page, err := s.store.RangeStale(ctx, key, "")
-	if err != nil || len(page.Items) > 0 {
+	if err != nil {
 		return false
 	}
-	wait(ctx, time.Duration(rand.Int64N(int64(candidacySpread))))
-	return s.take(ctx, key)
+	free := platform.Condition{Key: key}
+	if len(page.Items) > 0 {
+		// An agent that was started again takes its own seat back at once.
+		if string(page.Items[0].Value) != s.settings.Instance {
+			return false
+		}
+		free.Revision = page.Items[0].Revision
+	} else {
+		wait(ctx, time.Duration(rand.Int64N(int64(candidacySpread))))
+	}
+	return s.take(ctx, free)
 }
 
 // keep renews the lease. While the store does not answer, the planner goes on:
@@ -81,22 +96,43 @@
 	return true
 }
 
-func (s *seat) take(ctx context.Context, key string) bool {
+func (s *seat) take(ctx context.Context, free platform.Condition) bool {
 	lease, err := s.store.Lease(ctx, max(plannerLease, s.settings.Lease))
 	if err != nil {
 		return false
 	}
-	free := []platform.Condition{{Key: key}}
-	put := []platform.Put{{Key: key, Value: []byte(s.settings.Instance), Lease: lease}}
-	if _, err := s.store.Write(ctx, free, put); err != nil {
+	put := []platform.Put{{Key: free.Key, Value: []byte(s.settings.Instance), Lease: lease}}
+	if _, err := s.store.Write(ctx, []platform.Condition{free}, put); err != nil {
 		s.end(lease)
 		return false
 	}
-	s.lease = lease
+	s.lease, s.slow = lease, ""
 	s.logger.Event(elmlog.PlannerChosen, "service", s.settings.Service)
 	return true
 }
 
+// publish tells the entries which ranks are slow, when that changes. The key
+// ends with the planner's lease.
+func (s *seat) publish(ctx context.Context, v view, paces []float64) {
+	slow := elmslow.List{}
+	for r, pace := range paces {
+		if pace >= slowPace {
+			slow[v.ranks[r]] = math.Round(pace)
+		}
+	}
+	value := slow.String()
+	if value == s.slow || s.lease == 0 {
+		return
+	}
+	key := platform.OwnPrefix + elmslow.Key + s.settings.Service
+	if _, err := s.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(value), Lease: s.lease}}); err != nil {
+		s.logger.Event(elmlog.StoreDown, "call", "publish slow ranks", "error", err)
+		return
+	}
+	s.logger.Event(elmlog.RanksSlow, "service", s.settings.Service, "ranks", value)
+	s.slow = value
+}
+
 // leave gives the seat back.
 func (s *seat) leave() {
 	if s.lease != 0 {
--- a/internal/expert/elmplan/elmplan.go
+++ b/internal/expert/elmplan/elmplan.go
@@ -9,7 +9,7 @@
 //
 //	planner := elmplan.New(places, spare)
 //	next := planner.Improve(current, weights)
-//	gain := elmplan.Peak(current, weights) - elmplan.Peak(next, weights)
+//	gain := planner.Peak(current, weights) - planner.Peak(next, weights)
 package elmplan
 
 import (
@@ -29,6 +29,7 @@
 	places int
 	spare  int
 	target float64
+	paces  []float64
 }
 
 // New returns a planner for ranks that hold a number of experts in each set and
@@ -42,18 +43,25 @@
 	return p
 }
 
-// Peak returns the load of the most loaded rank relative to the mean, averaged
-// over the sets. 1 is best.
-func Peak(m elmrank.Map, w Weights) float64 {
+// WithPaces returns a planner for ranks of which some are slow. A pace of 2 means
+// that a rank takes twice as long for the same work.
+func (p Planner) WithPaces(paces []float64) Planner {
+	p.paces = paces
+	return p
+}
+
+// Peak returns the time that the slowest rank needs for its experts relative to
+// the mean load, averaged over the sets. 1 is best.
+func (p Planner) Peak(m elmrank.Map, w Weights) float64 {
 	total := 0.0
 	for s := range m {
-		l := newLayer(m[s], w[s])
+		l := newLayer(m[s], w[s], p.paces)
 		mean := l.mean()
 		if mean == 0 {
 			total++
 			continue
 		}
-		total += slices.Max(l.loads) / mean
+		total += l.worst() / mean
 	}
 	return total / float64(max(len(m), 1))
 }
@@ -62,10 +70,10 @@
 func (p Planner) Improve(m elmrank.Map, w Weights) elmrank.Map {
 	next := make(elmrank.Map, len(m))
 	for s := range m {
-		l := newLayer(m[s], w[s])
+		l := newLayer(m[s], w[s], p.paces)
 		enough := p.target * l.mean()
 		for range rounds {
-			if slices.Max(l.loads) <= enough || !p.step(l) {
+			if l.worst() <= enough || !p.step(l) {
 				break
 			}
 		}
@@ -85,10 +93,16 @@
 	before []map[int]bool
 	added  []int
 	loads  []float64
+	// paces tells how many times as long each rank takes for the same load.
+	paces []float64
 }
 
-func newLayer(ranks [][]int, weights []float64) *layer {
+func newLayer(ranks [][]int, weights, paces []float64) *layer {
+	if len(paces) != len(ranks) {
+		paces = slices.Repeat([]float64{1}, len(ranks))
+	}
 	l := &layer{
+		paces:   paces,
 		weights: weights,
 		copies:  make([]int, len(weights)),
 		holders: make([][]int, len(weights)),
@@ -113,6 +127,15 @@
 	return l
 }
 
+// worst returns the time of the slowest rank.
+func (l *layer) worst() float64 {
+	worst := 0.0
+	for r, load := range l.loads {
+		worst = max(worst, load*l.paces[r])
+	}
+	return worst
+}
+
 func (l *layer) mean() float64 {
 	sum := 0.0
 	for _, load := range l.loads {
@@ -136,7 +159,9 @@
 	expert, to int
 	drop       int
 	swap       bool
-	peak       float64
+	// leave means that the busiest rank gives its copy up.
+	leave bool
+	peak  float64
 }
 
 const none = -1
@@ -146,11 +171,11 @@
 func (p Planner) step(l *layer) bool {
 	busiest := 0
 	for r := range l.loads {
-		if l.loads[r] > l.loads[busiest] {
+		if l.loads[r]*l.paces[r] > l.loads[busiest]*l.paces[busiest] {
 			busiest = r
 		}
 	}
-	best := change{peak: l.loads[busiest] * (1 - 1e-6)}
+	best := change{peak: l.worst() * (1 - 1e-6)}
 	found := false
 	for _, e := range l.held[busiest] {
 		for r := range l.held {
@@ -178,7 +203,7 @@
 		return nil
 	}
 	if len(l.held[r]) < p.places {
-		list = append(list, change{expert: e, to: r, drop: none})
+		list = append(list, change{expert: e, to: r, drop: none}, change{expert: e, to: r, drop: none, leave: true})
 	}
 	for _, x := range l.held[r] {
 		if l.copies[x] > 1 {
@@ -198,8 +223,8 @@
 
 // peakAfter returns the highest load among the ranks that a change touches.
 func (l *layer) peakAfter(busiest int, c change) float64 {
-	from := l.shift(busiest, l.loads[busiest], c, busiest)
-	to := l.shift(c.to, l.loads[c.to], c, busiest)
+	from := l.shift(busiest, l.loads[busiest], c, busiest) * l.paces[busiest]
+	to := l.shift(c.to, l.loads[c.to], c, busiest) * l.paces[c.to]
 	peak := max(from, to)
 	if c.swap || c.drop == none {
 		return peak
@@ -208,7 +233,7 @@
 	more := l.weights[c.drop]/(k-1) - l.weights[c.drop]/k
 	for _, r := range l.holders[c.drop] {
 		if r != c.to && r != busiest {
-			peak = max(peak, l.loads[r]+more)
+			peak = max(peak, (l.loads[r]+more)*l.paces[r])
 		}
 	}
 	return peak
@@ -216,6 +241,16 @@
 
 // shift returns the load of a rank after a change.
 func (l *layer) shift(r int, load float64, c change, busiest int) float64 {
+	if c.leave {
+		part := l.weights[c.expert] / float64(l.copies[c.expert])
+		switch r {
+		case busiest:
+			return load - part
+		case c.to:
+			return load + part
+		}
+		return load
+	}
 	if c.swap {
 		we, wx := l.weights[c.expert]/float64(l.copies[c.expert]), l.weights[c.drop]/float64(l.copies[c.drop])
 		switch r {
@@ -256,6 +291,8 @@
 	}
 	if c.swap {
 		l.give(busiest, c.drop)
+	}
+	if c.swap || c.leave {
 		l.take(busiest, c.expert)
 	}
 }
--- a/internal/expert/elmplan/elmplan_test.go
+++ b/internal/expert/elmplan/elmplan_test.go
@@ -63,16 +63,16 @@
 				w := demand(s, seed)
 				current := elmrank.First(s.sets, s.experts, s.ranks)
 				planner := elmplan.New(s.places, s.spare)
-				first := elmplan.Peak(current, w)
+				first := planner.Peak(current, w)
 				for range 4 {
 					next := planner.Improve(current, w)
 					checkMap(t, s, current, next)
-					if elmplan.Peak(next, w) > elmplan.Peak(current, w)+1e-9 {
+					if planner.Peak(next, w) > planner.Peak(current, w)+1e-9 {
 						t.Fatalf("seed %d: the plan is worse", seed)
 					}
 					current = next
 				}
-				if last := elmplan.Peak(current, w); last > 0.6*first {
+				if last := planner.Peak(current, w); last > 0.6*first {
 					t.Errorf("seed %d: peak %.2f of %.2f before", seed, last, first)
 				}
 			}
@@ -80,6 +80,26 @@
 	}
 }
 
+// TestSlowRank proves that a rank that takes twelve times as long loses nearly all
+// its load within a few changes.
+func TestSlowRank(t *testing.T) {
+	s := sizes["twelve ranks"]
+	w := demand(s, 3)
+	paces := slices.Repeat([]float64{1}, s.ranks)
+	paces[4] = 12
+	planner := elmplan.New(s.places, s.spare).WithPaces(paces).WithTarget(1.25)
+	current := elmrank.First(s.sets, s.experts, s.ranks)
+	first := planner.Peak(current, w)
+	for range 5 {
+		next := planner.Improve(current, w)
+		checkMap(t, s, current, next)
+		current = next
+	}
+	if last := planner.Peak(current, w); last > 2 {
+		t.Errorf("the slow rank still takes %.1f times the mean, %.1f before", last, first)
+	}
+}
+
 func BenchmarkImprove(b *testing.B) {
 	for name, s := range sizes {
 		b.Run(name, func(b *testing.B) {
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -23,6 +23,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmbelief"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 	"github.com/elmcove/elmcove/internal/forward/elmshare"
+	"github.com/elmcove/elmcove/internal/forward/elmslow"
 )
 
 const (
@@ -33,6 +34,9 @@
 	failureCost = 6.0
 	// failureHalf is the time in which half of a failure is forgotten.
 	failureHalf = 2 * time.Second
+	// slowCost is what a rank counts for beside its requests for each time that
+	// its work takes longer than usual.
+	slowCost = 4.0
 	// engineQueue is the part of an engine's slots that may wait for one: what
 	// waits longer would miss its objective.
 	engineQueue = 0.5
@@ -111,6 +115,7 @@
 	endpoints map[string]*endpoint
 	peers     map[string]peer
 	services  map[string]*service
+	slow      elmslow.List
 }
 
 type endpoint struct {
@@ -149,6 +154,9 @@
 	p.peers[name] = peer{at: now, loads: loads}
 }
 
+// SetSlow tells which ranks are slow. All ranks of a group wait for them.
+func (p *Placer) SetSlow(list elmslow.List) { p.slow = list }
+
 // Loads returns the number of this entry's requests at each endpoint.
 func (p *Placer) Loads() map[string]int {
 	loads := map[string]int{}
@@ -195,6 +203,9 @@
 	}
 	e := p.endpoint(m.ID)
 	cost += failureCost * decayed(e.failure, now-e.failed)
+	if pace := p.slow[m.Address]; pace > 1 {
+		cost += slowCost * (pace - 1)
+	}
 	if s.Engine == nil && e.latency > 0 {
 		cost += e.latency / latencyUnit
 	}
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -75,6 +75,8 @@
 	mutex   sync.Mutex
 	placer  *elmplace.Placer
 	polling map[string]bool
+	// longest is the longest time that callers had on each route.
+	longest map[string]time.Duration
 }
 
 // New returns a router that is not running yet.
@@ -84,6 +86,7 @@
 		store:   platform.NewStore(settings.Store),
 		ranks:   platform.NewRanks(reportTimeout),
 		polling: map[string]bool{},
+		longest: map[string]time.Duration{},
 		placer: elmplace.New(elmplace.Settings{
 			Datacentre:  settings.Datacentre,
 			RepeatShare: settings.Bounds.RepeatShare, RepeatBurst: settings.Bounds.RepeatBurst,
@@ -161,6 +164,14 @@
 	}
 }
 
+// usual returns the longest time that callers had on a route.
+func (r *Router) usual(route string, deadline time.Duration) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.longest[route] = max(r.longest[route], deadline)
+	return r.longest[route]
+}
+
 func (r *Router) callerServer(base context.Context) *http.Server {
 	keeper := newKeeper(func() time.Duration {
 		if limit := r.follower.Belief().Catalog().Limits().Idle; limit > 0 {
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/forward/elmslow"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/wire/elmpeer"
@@ -74,9 +76,6 @@
 	r.mutex.Lock()
 	r.placer.SetPeer(l.GetEntry(), loads, now)
 	r.mutex.Unlock()
-	for _, name := range l.GetBroken() {
-		r.setBroken(name, true, "told by "+l.GetEntry())
-	}
 }
 
 // tell tells the other entries how much work this one has where.
@@ -87,8 +86,10 @@
 		others := r.others()
 		r.peers.SetOthers(others)
 		message := &elmpeer.Loads{Entry: r.settings.Instance}
+		slow := r.slow()
 		r.mutex.Lock()
 		r.placer.SetEntries(len(others) + 1)
+		r.placer.SetSlow(slow)
 		for id, open := range r.placer.Loads() {
 			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
 		}
@@ -114,6 +115,15 @@
 	return list
 }
 
+// slow returns the slow ranks of all groups.
+func (r *Router) slow() elmslow.List {
+	all := elmslow.List{}
+	for _, text := range r.follower.Belief().Own(elmslow.Key) {
+		maps.Copy(all, elmslow.Parse(text))
+	}
+	return all
+}
+
 func wait(ctx context.Context, rest time.Duration) {
 	timer := time.NewTimer(rest)
 	defer timer.Stop()
@@ -127,7 +137,7 @@
 const reportTimeout = 500 * time.Millisecond
 
 // pollEvery is the time between two such questions.
-const pollEvery = 400 * time.Millisecond
+const pollEvery = 150 * time.Millisecond
 
 // setBroken takes the news that a group is broken or open. While it is broken,
 // one rank in turn is asked for its state.
--- a/internal/forward/elmrouter/fly.go
+++ b/internal/forward/elmrouter/fly.go
@@ -23,6 +23,16 @@
 const (
 	// minimalTime is the least time for which a request is still sent.
 	minimalTime = 20 * time.Millisecond
+	// returnPatience is how long the request of a returning caller waits for a
+	// place: callers give streams up after two seconds without an event.
+	returnPatience = 1600 * time.Millisecond
+	// returnMargin is left of the caller's time for the work itself.
+	returnMargin = 300 * time.Millisecond
+	// returnShare is the part of the usual time below which a caller is taken
+	// for a returning one.
+	returnShare = 0.9
+	// lookAgain is the time between two looks for a place.
+	lookAgain = 40 * time.Millisecond
 	// copyBuffer is the size of the parts in which answers are passed on.
 	copyBuffer = 8 << 10
 	// retryFull is when a caller should be back after a refusal for load.
@@ -112,7 +122,33 @@
 
 func (v *voyage) left() time.Duration { return v.allowed - (elmclock.Now() - v.began) }
 
+// place looks for an endpoint. A caller that has come back once already will not
+// come again, so its request waits a little for a group that opens again or a
+// place that becomes free.
 func (v *voyage) place(c elmflight.Place) elmflight.Message {
+	until := elmclock.Now()
+	if v.returned() {
+		until += min(returnPatience, v.left()-returnMargin)
+	}
+	for {
+		message := v.placeNow(c)
+		if _, unplaced := message.(elmflight.Unplaced); !unplaced || elmclock.Now() >= until {
+			return message
+		}
+		wait(v.ctx, lookAgain)
+	}
+}
+
+// returned reports whether the caller was here before: it has less time left
+// than others have on the route, or names an event of a broken stream.
+func (v *voyage) returned() bool {
+	if v.facts.Event != "" {
+		return true
+	}
+	return v.facts.Deadline < time.Duration(returnShare*float64(v.router.usual(v.route.Name, v.facts.Deadline)))
+}
+
+func (v *voyage) placeNow(c elmflight.Place) elmflight.Message {
 	if m := v.ended(false); m != nil {
 		return m
 	}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -55,6 +55,9 @@
 	MapChanged          Event = 1523
 	MapAbandoned        Event = 1524
 	GroupRepaired       Event = 1525
+	RanksSlow           Event = 1526
+	GroupHeld           Event = 1527
+	GroupStalled        Event = 1528
 	ProcessThawed       Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -102,6 +105,9 @@
 	MapChanged:          {hclog.Info, "expert map changes", adviceNone},
 	MapAbandoned:        {hclog.Warn, "change of the expert map given up", "None if it is rare. Otherwise look at the ranks that it waited for."},
 	GroupRepaired:       {hclog.Warn, "group released that an earlier planner had held", adviceNone},
+	RanksSlow:           {hclog.Info, "list of slow ranks changed", "Look at the instances of the ranks that stay on it."},
+	GroupHeld:           {hclog.Warn, "group is held and makes no passes", "None. It is released. Look at the instance of the planner."},
+	GroupStalled:        {hclog.Warn, "group has work and makes no passes", "If it is not complete, find the rank that does not answer."},
 	RosterSuspect:       {hclog.Warn, "instance list shrank suddenly and is not believed", "Check the platform's instance list. Links decide until it recovers."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
@@ -110,7 +116,7 @@
 	RequestRefused:      {hclog.Info, "request refused", "Use elmcove explain with the request's identifier."},
 	RequestRetried:      {hclog.Debug, "request sent elsewhere", adviceNone},
 	RequestAborted:      {hclog.Warn, "answer broken off with an explicit error", "Check the endpoint that was serving it."},
-	RequestAbandoned:    {hclog.Debug, "caller left", adviceNone},
+	RequestAbandoned:    {hclog.Info, "caller left", adviceNone},
 	EndpointCold:        {hclog.Warn, "endpoint turned cold", adviceNone + " Its load is reduced until it is warm."},
 	EndpointFailed:      {hclog.Warn, "endpoint failed a request", "If it repeats, drain the endpoint."},
 	RecordFailed:        {hclog.Warn, "finished request could not be recorded", "Its key answers unknown until the claim expires."},
