Read the store once for each data centre, shorten the messages between entries

Change: where a data centre has five entries or more, the first by name reads and the others ask it every 300 ms, with the age added up; loads go to other data centres every 400 ms with hashed identities; a busy group gets a new map for a smaller gain.

--- a/internal/expert/elmpilot/elmpilot.go
+++ b/internal/expert/elmpilot/elmpilot.go
@@ -48,6 +48,9 @@
 	// worthwhile is the least gain of a new map, as a part of the mean load.
 	// Below it, copying experts costs callers more than the shorter passes give.
 	worthwhile = 0.35
+	// worthwhileBusy is the same for ranks that have little room left, where
+	// longer passes make callers wait.
+	worthwhileBusy = 0.15
 	// target is the load of the most loaded rank at which planning stops.
 	target = 1.25
 	// watchEvery is the time between two looks at the own rank.
@@ -188,7 +191,11 @@
 	planner := elmplan.New(service.Engine.Places, service.Engine.Spare).WithTarget(target).WithPaces(paces)
 	next := planner.Improve(current, weights)
 	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
-	if before-after < worthwhile {
+	least := worthwhile
+	if view.busy(service.Engine.Slots) {
+		least = worthwhileBusy
+	}
+	if before-after < least {
 		return
 	}
 	p.logger.Event(elmlog.MapPlanned, "epoch", view.epoch, "map", view.version, "peak", before, "planned", after)
--- a/internal/expert/elmpilot/group.go
+++ b/internal/expert/elmpilot/group.go
@@ -68,6 +68,18 @@
 	return found
 }
 
+// busyShare is the part of a group's slots from which it counts as busy.
+const busyShare = 0.75
+
+// busy reports whether the ranks have little room left.
+func (v view) busy(slots int) bool {
+	work := 0
+	for _, report := range v.reports {
+		work += report.Running + report.Waiting
+	}
+	return float64(work) > busyShare*float64(slots*len(v.reports))
+}
+
 // paces returns how slow each rank is.
 func (v view) paces() []float64 {
 	list := make([]float64, len(v.reports))
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -36,6 +36,12 @@
 	wholeEvery = 15 * time.Second
 	// retryPause is the pause after a call that failed.
 	retryPause = 250 * time.Millisecond
+	// sharedPace is the time between two questions to the entry that reads for
+	// this one.
+	sharedPace = 300 * time.Millisecond
+	// sharedAge is the age from which this process reads itself: a little more
+	// than two watches take.
+	sharedAge = 2800 * time.Millisecond
 	// neighbourAge is the age of the belief at which neighbours are asked.
 	neighbourAge = 1500 * time.Millisecond
 )
@@ -48,12 +54,17 @@
 	store      *platform.Store
 	logger     *elmlog.Logger
 	neighbours Neighbours
+	reader     Reader
 	belief     atomic.Pointer[elmbelief.Belief]
 
 	mutex sync.Mutex
 	items map[string]platform.Item
 }
 
+// Reader asks the entry that reads the store for this one for what it has read
+// after a revision. It returns false where this process has to read itself.
+type Reader func(ctx context.Context, after int64) (*elmpeer.Snapshot, bool)
+
 // Option changes a Follower.
 type Option func(*Follower)
 
@@ -62,6 +73,11 @@
 	return func(f *Follower) { f.neighbours = ask }
 }
 
+// WithReader sets who reads the store for this process while that works.
+func WithReader(read Reader) Option {
+	return func(f *Follower) { f.reader = read }
+}
+
 // WithGrace sets for how long endpoints that leave, and data centres that were
 // withdrawn, may be sent work that no other can take.
 func WithGrace(leave, move time.Duration) Option {
@@ -76,6 +92,7 @@
 	f := &Follower{
 		store: store, logger: logger, items: map[string]platform.Item{},
 		neighbours: func(context.Context, int64) []*elmpeer.Snapshot { return nil },
+		reader:     func(context.Context, int64) (*elmpeer.Snapshot, bool) { return nil, false },
 	}
 	belief := elmbelief.New()
 	f.belief.Store(&belief)
@@ -93,6 +110,11 @@
 	whole := time.Duration(-1)
 	down := false
 	for ctx.Err() == nil {
+		if f.readShared(ctx) {
+			whole = -1
+			pauseFor(ctx, sharedPace)
+			continue
+		}
 		sent := elmclock.Now()
 		var err error
 		if whole < 0 || sent-whole > wholeEvery {
@@ -116,6 +138,24 @@
 	}
 }
 
+// readShared takes what another entry has read, unless it is too old.
+func (f *Follower) readShared(ctx context.Context) bool {
+	before := f.Belief()
+	if !before.Known() {
+		return false
+	}
+	asked := elmclock.Now()
+	s, ok := f.reader(ctx, before.Revision())
+	if !ok || s.GetRevision() < before.Revision() {
+		return false
+	}
+	sent := asked - time.Duration(s.GetAgeMs())*time.Millisecond
+	if sent > before.Sent() {
+		f.takeSnapshot(s, sent, before.Revision())
+	}
+	return f.Belief().Age(elmclock.Now()) < sharedAge
+}
+
 func (f *Follower) noteDependency(down bool, err error) bool {
 	if err != nil && !down {
 		f.logger.Event(elmlog.StoreDown, "error", err, "age", f.Belief().Age(elmclock.Now()))
--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	peers := elmpeers.New("10.0.0.4:7340", seeds)
-//	peers.SetOthers([]string{"10.0.0.5:7340"})
+//	peers.SetOthers([]string{"10.0.0.5:7340"}, nil)
 //	go peers.Run(ctx, received)
 package elmpeers
 
@@ -19,6 +19,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -49,7 +50,8 @@
 	client  *http.Client
 
 	mutex  sync.Mutex
-	others []string
+	near   []string
+	far    []string
 	seeds  []string
 	turn   int
 	socket net.PacketConn
@@ -64,11 +66,12 @@
 	}}
 }
 
-// SetOthers sets the addresses of the other entries.
-func (p *Peers) SetOthers(addresses []string) {
+// SetOthers sets the addresses of the other entries: those of the own data
+// centre and those of others.
+func (p *Peers) SetOthers(near, far []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.others = addresses
+	p.near, p.far = near, far
 }
 
 // Run receives the loads of others until the context ends.
@@ -99,10 +102,14 @@
 	}
 }
 
-// Tell sends loads to all others. Lost datagrams are replaced by the next.
-func (p *Peers) Tell(loads *elmpeer.Loads) error {
+// Tell sends loads to the entries of the own data centre, and to the far ones if
+// asked to. Lost datagrams are replaced by the next.
+func (p *Peers) Tell(loads *elmpeer.Loads, far bool) error {
 	p.mutex.Lock()
-	others, socket := p.others, p.socket
+	others, socket := p.near, p.socket
+	if far {
+		others = slices.Concat(p.near, p.far)
+	}
 	p.mutex.Unlock()
 	if socket == nil || len(others) == 0 {
 		return nil
@@ -129,7 +136,7 @@
 	var found []*elmpeer.Snapshot
 	for _, address := range p.next() {
 		wait.Go(func() {
-			s, err := p.ask(ctx, address, after)
+			s, err := p.AskOne(ctx, address, after)
 			if err != nil {
 				return // Others are asked at the next turn.
 			}
@@ -146,7 +153,7 @@
 func (p *Peers) next() []string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	known := p.others
+	known := slices.Concat(p.near, p.far)
 	if len(known) == 0 {
 		known = p.seeds
 	}
@@ -158,7 +165,8 @@
 	return list
 }
 
-func (p *Peers) ask(ctx context.Context, address string, after int64) (*elmpeer.Snapshot, error) {
+// AskOne asks another entry for what it has read after a revision.
+func (p *Peers) AskOne(ctx context.Context, address string, after int64) (*elmpeer.Snapshot, error) {
 	url := "http://" + address + SnapshotPath + "?after=" + strconv.FormatInt(after, 10)
 	call, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -20,6 +20,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/elmcove/elmcove/internal/forward/elmbelief"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 	"github.com/elmcove/elmcove/internal/forward/elmshare"
@@ -119,6 +121,7 @@
 }
 
 type endpoint struct {
+	key     uint32
 	open    int
 	failure float64
 	failed  time.Duration
@@ -128,7 +131,7 @@
 
 type peer struct {
 	at    time.Duration
-	loads map[string]int
+	loads map[uint32]int
 }
 
 type service struct {
@@ -149,20 +152,24 @@
 // SetEntries tells how many entries share the limits, this one included.
 func (p *Placer) SetEntries(n int) { p.entries = max(n, 1) }
 
-// SetPeer takes the number of requests that another entry has at each endpoint.
-func (p *Placer) SetPeer(name string, loads map[string]int, now time.Duration) {
+// Key shortens the identity of an endpoint for the messages between entries.
+func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// SetPeer takes the number of requests that another entry has at each endpoint,
+// by Key.
+func (p *Placer) SetPeer(name string, loads map[uint32]int, now time.Duration) {
 	p.peers[name] = peer{at: now, loads: loads}
 }
 
 // SetSlow tells which ranks are slow. All ranks of a group wait for them.
 func (p *Placer) SetSlow(list elmslow.List) { p.slow = list }
 
-// Loads returns the number of this entry's requests at each endpoint.
-func (p *Placer) Loads() map[string]int {
-	loads := map[string]int{}
-	for id, e := range p.endpoints {
+// Loads returns the number of this entry's requests at each endpoint, by Key.
+func (p *Placer) Loads() map[uint32]int {
+	loads := map[uint32]int{}
+	for _, e := range p.endpoints {
 		if e.open > 0 {
-			loads[id] = e.open
+			loads[e.key] = e.open
 		}
 	}
 	return loads
@@ -226,10 +233,11 @@
 // load returns the requests that all entries have at an endpoint, as far as
 // this one knows.
 func (p *Placer) load(id string, now time.Duration) float64 {
-	load := p.endpoint(id).open
+	e := p.endpoint(id)
+	load := e.open
 	for _, other := range p.peers {
 		if now-other.at < peerLife {
-			load += other.loads[id]
+			load += other.loads[e.key]
 		}
 	}
 	return float64(load)
@@ -255,7 +263,7 @@
 func (p *Placer) endpoint(id string) *endpoint {
 	e, ok := p.endpoints[id]
 	if !ok {
-		e = &endpoint{cold: elmshare.New(coldWindow)}
+		e = &endpoint{key: Key(id), cold: elmshare.New(coldWindow)}
 		p.endpoints[id] = e
 	}
 	return e
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -30,6 +30,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 	"github.com/elmcove/elmcove/platform"
 )
 
@@ -95,7 +96,7 @@
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	r.peers = elmpeers.New(r.internal(), settings.Seeds)
-	r.follower = elmfollower.New(r.store, logger, elmfollower.WithNeighbours(r.peers.Ask),
+	r.follower = elmfollower.New(r.store, logger, elmfollower.WithNeighbours(r.peers.Ask), elmfollower.WithReader(r.readFrom),
 		elmfollower.WithGrace(settings.Bounds.Leave, settings.Bounds.Withdraw))
 	r.exchange = elmexchange.New(elmexchange.WithAnswerTo(func(h http.Header) string {
 		return platform.ReadVerdict(http.StatusOK, h).Attempt
@@ -103,6 +104,16 @@
 	return r
 }
 
+// readFrom asks the entry that reads the store for this one.
+func (r *Router) readFrom(ctx context.Context, after int64) (*elmpeer.Snapshot, bool) {
+	address := r.reader()
+	if address == "" {
+		return nil, false
+	}
+	s, err := r.peers.AskOne(ctx, address, after)
+	return s, err == nil
+}
+
 // internal is the address that other processes of the system use.
 func (r *Router) internal() string {
 	return net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.Ports[0]))
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmslow"
@@ -20,6 +22,12 @@
 	entryLease = 10 * time.Second
 	// keepEvery is the time between two renewals.
 	keepEvery = 3 * time.Second
+	// farEvery is the number of messages to the own data centre for each that
+	// also goes to the others, since bytes between data centres are paid.
+	farEvery = 4
+	// sharedReaders is the number of entries in a data centre from which one
+	// reads the store for all, since each call to it is paid.
+	sharedReaders = 5
 	// registerPause is the pause after a registration that failed.
 	registerPause = time.Second
 )
@@ -50,7 +58,7 @@
 		return 0, err
 	}
 	key := platform.OwnPrefix + entriesKey + r.settings.Instance
-	if _, err := r.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(r.internal()), Lease: lease}}); err != nil {
+	if _, err := r.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(r.internal() + " " + r.settings.Datacentre), Lease: lease}}); err != nil {
 		return 0, err
 	}
 	return lease, nil
@@ -68,7 +76,7 @@
 }
 
 func (r *Router) heard(l *elmpeer.Loads) {
-	loads := map[string]int{}
+	loads := map[uint32]int{}
 	for _, e := range l.GetLoads() {
 		loads[e.GetEndpoint()] = int(e.GetOpen())
 	}
@@ -81,14 +89,14 @@
 // tell tells the other entries how much work this one has where.
 func (r *Router) tell(ctx context.Context) {
 	quiet := false
-	for ctx.Err() == nil {
+	for turn := 0; ctx.Err() == nil; turn++ {
 		wait(ctx, tellEvery)
-		others := r.others()
-		r.peers.SetOthers(others)
+		near, far := r.others()
+		r.peers.SetOthers(addressesOf(near), addressesOf(far))
 		message := &elmpeer.Loads{Entry: r.settings.Instance}
 		slow := r.slow()
 		r.mutex.Lock()
-		r.placer.SetEntries(len(others) + 1)
+		r.placer.SetEntries(len(near) + len(far) + 1)
 		r.placer.SetSlow(slow)
 		for id, open := range r.placer.Loads() {
 			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
@@ -98,21 +106,49 @@
 			continue
 		}
 		quiet = len(message.Loads) == 0
-		if err := r.peers.Tell(message); err != nil {
+		if err := r.peers.Tell(message, quiet || turn%farEvery == 0); err != nil {
 			r.meter.Count("elmcove_tell_failures_total", "entry", r.settings.Instance)
 		}
 	}
 }
 
-// others returns the addresses of the other entries.
-func (r *Router) others() []string {
-	var list []string
-	for name, address := range r.follower.Belief().Own(entriesKey) {
-		if name != r.settings.Instance {
-			list = append(list, address)
+// entry is another entry process as the store lists it.
+type entry struct{ name, address string }
+
+// others returns the other entries, in the order of their names: those of the
+// own data centre, and those of others.
+func (r *Router) others() (near, far []entry) {
+	listed := r.follower.Belief().Own(entriesKey)
+	for _, name := range slices.Sorted(maps.Keys(listed)) {
+		address, datacentre, _ := strings.Cut(listed[name], " ")
+		switch {
+		case name == r.settings.Instance:
+		case datacentre == r.settings.Datacentre:
+			near = append(near, entry{name, address})
+		default:
+			far = append(far, entry{name, address})
 		}
 	}
-	return list
+	return near, far
+}
+
+func addressesOf(list []entry) []string {
+	var addresses []string
+	for _, e := range list {
+		addresses = append(addresses, e.address)
+	}
+	return addresses
+}
+
+// reader returns the address of the entry that reads the store for this one, or
+// "" if this one has to: in each data centre the first by name reads for all,
+// where there are enough of them.
+func (r *Router) reader() string {
+	near, _ := r.others()
+	if len(near)+1 < sharedReaders || near[0].name > r.settings.Instance {
+		return ""
+	}
+	return near[0].address
 }
 
 // slow returns the slow ranks of all groups.
