--- /dev/null
+++ b/internal/expert/elmpilot/elmpilot_test.go
@@ -0,0 +1,142 @@
+package elmpilot_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/expert/elmpilot"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/platform"
+	"github.com/elmcove/elmcove/platform/stand"
+)
+
+const (
+	ranks   = 4
+	experts = 8
+	port    = 27311
+)
+
+// world is a group of ranks, each on a loopback address of its own with an agent
+// beside it.
+type world struct {
+	store *stand.Store
+	group *stand.Group
+	logs  *record
+}
+
+type record struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (r *record) Write(line []byte) (int, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.text.Write(line)
+}
+
+func (r *record) String() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.text.String()
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{store: stand.NewStore(), group: stand.NewGroup(ranks, 2, experts), logs: &record{}}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	document, _ := json.Marshal(map[string]any{
+		"version": 1, "services": []any{map[string]any{"name": "draft", "engine": map[string]any{
+			"slots": 12, "sets": 2, "experts": experts, "places": 4, "spare": 3, "expertShare": 0.85,
+		}}},
+	})
+	w.store.Put("op/config", document)
+	for r := range ranks {
+		w.start(t, r, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return w
+}
+
+// start runs a rank and the agent beside it on the loopback address 127.0.1.r.
+func (w *world) start(t *testing.T, r int, store string) {
+	t.Helper()
+	ip := fmt.Sprintf("127.0.1.%d", r+1)
+	listener, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(w.group.Rank(r))
+	server.Listener = listener
+	server.Start()
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	entry, _ := json.Marshal(map[string]any{
+		"service": "draft", "address": listener.Addr().String(), "zone": "home", "slots": 12, "state": "ready", "coldLeftMs": 0,
+	})
+	w.store.Put(fmt.Sprintf("servers/r%d", r), entry)
+	pilot := elmpilot.New(platform.Settings{
+		Instance: fmt.Sprintf("agent-%d", r), Datacentre: "home", IP: ip, Ports: []int{port},
+		Beside: listener.Addr().String(), Service: "draft", Store: store, Lease: time.Second,
+	}, elmlog.NewJSON(fmt.Sprintf("agent-%d", r), w.logs))
+	done := make(chan error, 1)
+	go func() { done <- pilot.Run(t.Context()) }()
+	t.Cleanup(func() {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// eventually makes passes until something holds, for a limited time.
+func (w *world) eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not %s; log:\n%s", what, w.logs)
+		}
+		w.group.Pass()
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
+// TestExpertShift: an expert that is suddenly in demand gets copies on more
+// ranks, and no pass ever mixes two maps.
+func TestExpertShift(t *testing.T) {
+	w := newWorld(t)
+	for _, hot := range []int{2, 5} {
+		w.eventually(t, "copied", func() bool {
+			w.group.Choose(hot, 200)
+			return w.group.Holders(hot) > 1
+		})
+	}
+	if _, mixed := w.group.Version(); mixed {
+		t.Error("a pass mixed two maps")
+	}
+	if planner := w.store.Value("elmcove/planner/draft"); !strings.HasPrefix(planner, "agent-") {
+		t.Errorf("planner %q", planner)
+	}
+}
+
+// TestHeldGroup: a group that a planner has left held is released by the agents
+// that see no passes.
+func TestHeldGroup(t *testing.T) {
+	w := newWorld(t)
+	w.eventually(t, "planned for", func() bool { return w.store.Value("elmcove/planner/draft") != "" })
+	w.group.Hold(2)
+	if w.group.Pass() {
+		t.Fatal("the group is not held")
+	}
+	w.eventually(t, "released", func() bool { return w.group.Pass() })
+	if !strings.Contains(w.logs.String(), "released that an earlier planner had held") {
+		t.Error("no line tells of the repair")
+	}
+}
--- /dev/null
+++ b/internal/forward/elmexchange/elmexchange_test.go
@@ -0,0 +1,249 @@
+package elmexchange_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/forward/elmexchange"
+)
+
+// endpoint answers each connection with a script: it reads a request before each
+// part, and closes the connection at the end.
+type endpoint struct {
+	listener net.Listener
+	requests chan string
+}
+
+func newEndpoint(t *testing.T, scripts ...[]string) *endpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{listener: listener, requests: make(chan string, 16)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, script := range scripts {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.play(c, script)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) play(c net.Conn, script []string) {
+	defer c.Close() //nolint:errcheck // The test has what it needs.
+	reader := bufio.NewReader(c)
+	for _, part := range script {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		e.requests <- request.Method + " " + request.RequestURI + " " + string(body)
+		_, _ = io.WriteString(c, part)
+	}
+}
+
+func (e *endpoint) address() string { return e.listener.Addr().String() }
+
+func newExchange(opened *int) *elmexchange.Exchange {
+	return elmexchange.New(
+		elmexchange.WithAnswerTo(func(h http.Header) string { return h.Get("For") }),
+		elmexchange.WithOpened(func(string) { *opened++ }),
+	)
+}
+
+func request(id string) elmexchange.Request {
+	return elmexchange.Request{
+		Method: "POST", Target: "/a%20b?q=1", Host: "h.example", Header: http.Header{"X": {"y"}}, Body: []byte("body"), Attempt: id,
+	}
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\nFor: "
+
+func answer(id, body string) string { return ok + id + "\r\n\r\n" + body }
+
+type exchangeCase struct {
+	script []string
+	// fails is the error of Do, and cut that of reading the body.
+	fails error
+	cut   bool
+	body  string
+	// kept tells whether a second request uses the same connection.
+	kept bool
+}
+
+var exchangeCases = map[string]exchangeCase{
+	"whole answer": {
+		script: []string{answer("1", "hi"), answer("2", "hi")}, body: "hi", kept: true,
+	},
+	"answer to another request comes first": {
+		script: []string{answer("0", "no") + answer("1", "hi")}, body: "hi",
+	},
+	"a second answer follows": {
+		script: []string{answer("1", "hi") + answer("1", "hi")}, body: "hi",
+	},
+	"interim answer": {
+		script: []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("1", "hi"), answer("2", "hi")}, body: "hi", kept: true,
+	},
+	"no answer": {
+		script: []string{""}, fails: elmexchange.ErrBroken,
+	},
+	"bytes that are no answer": {
+		script: []string{"what?\r\n\r\n"}, fails: elmexchange.ErrBroken,
+	},
+	"body ends early": {
+		script: []string{answer("1", "h")}, body: "h", cut: true,
+	},
+	"chunks end early": {
+		script: []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nFor: 1\r\n\r\n2\r\nhi\r\n"}, body: "hi", cut: true,
+	},
+	"body that ends with the connection": {
+		script: []string{"HTTP/1.1 200 OK\r\nFor: 1\r\n\r\nhi"}, body: "hi",
+	},
+	"endpoint closes after its answer": {
+		script: []string{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\nFor: 1\r\n\r\nhi"}, body: "hi",
+	},
+}
+
+func TestDo(t *testing.T) {
+	for name, c := range exchangeCases {
+		t.Run(name, func(t *testing.T) {
+			opened := 0
+			e := newEndpoint(t, c.script, []string{answer("2", "hi")})
+			x := newExchange(&opened)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			a, err := x.Do(ctx, e.address(), request("1"))
+			if !errors.Is(err, c.fails) {
+				t.Fatalf("error %v, want %v", err, c.fails)
+			}
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(a)
+			if string(body) != c.body || (err != nil) != c.cut {
+				t.Errorf("body %q, error %v", body, err)
+			}
+			a.Close()
+			b, err := x.Do(ctx, e.address(), request("2"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Close()
+			if kept := opened == 1; kept != c.kept {
+				t.Errorf("connections %d, kept %v", opened, c.kept)
+			}
+		})
+	}
+}
+
+func TestRequestIsPassedOnByteForByte(t *testing.T) {
+	opened := 0
+	e := newEndpoint(t, []string{answer("1", "hi")})
+	a, err := newExchange(&opened).Do(t.Context(), e.address(), request("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	if got := <-e.requests; got != "POST /a%20b?q=1 body" {
+		t.Errorf("the endpoint got %q", got)
+	}
+}
+
+func TestNobodyListens(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	opened := 0
+	if _, err := newExchange(&opened).Do(t.Context(), address, request("1")); !errors.Is(err, elmexchange.ErrUnsent) {
+		t.Errorf("error %v, want that nothing was sent", err)
+	}
+}
+
+// TestCallerLeaves: the end of the context closes the connection, which stops
+// the endpoint's work.
+func TestCallerLeaves(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close() //nolint:errcheck // The test is over.
+	ctx, cancel := context.WithCancel(t.Context())
+	closed := make(chan error, 1)
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			closed <- err
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		cancel()
+		_, err = io.Copy(io.Discard, c)
+		closed <- err
+	}()
+	opened := 0
+	if _, err := newExchange(&opened).Do(ctx, listener.Addr().String(), request("1")); !errors.Is(err, elmexchange.ErrBroken) {
+		t.Errorf("error %v", err)
+	}
+	if err := <-closed; err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("the endpoint saw %v", err)
+	}
+}
+
+// TestEarlyAnswerToALongBody: the answer is passed on though the body was not
+// read, and the connection is not used again.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close() //nolint:errcheck // The test is over.
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = bufio.NewReaderSize(c, 16).ReadString('\n')
+				_, _ = io.WriteString(c, answer("1", "no"))
+			}()
+		}
+	}()
+	opened := 0
+	x := newExchange(&opened)
+	long := request("1")
+	long.Body = bytes.Repeat([]byte("x"), 8<<20)
+	a, err := x.Do(t.Context(), listener.Addr().String(), long)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(a); err != nil || string(body) != "no" {
+		t.Errorf("body %q, error %v", body, err)
+	}
+	a.Close()
+	b, err := x.Do(t.Context(), listener.Addr().String(), request("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Close()
+	if opened != 2 {
+		t.Errorf("%d connections, want 2", opened)
+	}
+}
--- /dev/null
+++ b/internal/forward/elmshare/elmshare_test.go
@@ -0,0 +1,39 @@
+package elmshare_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/forward/elmshare"
+)
+
+// TestSum compares the counter with the exact number: it is never too low, and
+// too high by one slice at most.
+func TestSum(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	const window = time.Second
+	counter := elmshare.New(window)
+	var events []time.Duration
+	now := time.Duration(0)
+	for range 5000 {
+		now += time.Duration(random.Int64N(int64(40 * time.Millisecond)))
+		if random.IntN(50) == 0 {
+			now += 3 * time.Second
+		}
+		counter.Add(now)
+		events = append(events, now)
+		exact, wide := 0, 0
+		for _, e := range events {
+			if e > now-window {
+				exact++
+			}
+			if e > now-window-window/10 {
+				wide++
+			}
+		}
+		if got := counter.Sum(now); got < exact || got > wide {
+			t.Fatalf("at %v: %d, want %d to %d", now, got, exact, wide)
+		}
+	}
+}
