--- a/internal/expert/elmpilot/elmpilot.go
+++ b/internal/expert/elmpilot/elmpilot.go
@@ -156,15 +156,15 @@
 	if !ok || service.Engine == nil {
 		return
 	}
-	view, ok := p.look(ctx)
-	held := view.held()
+	seen, ok := p.look(ctx)
+	held := seen.held()
 	p.logger.Event(elmlog.GroupStalled, "epoch", report.Epoch, "step", report.Step, "since", now-p.stall.since,
 		"complete", ok, "held", held)
 	if !ok || len(held) == 0 {
 		return
 	}
-	if current, ok := p.currentMap(ctx, view, *service.Engine); ok {
-		p.heal(ctx, view, current, held)
+	if current, ok := p.currentMap(ctx, seen, *service.Engine); ok {
+		p.heal(ctx, seen, current, held)
 	}
 }
 
@@ -174,32 +174,32 @@
 	if !ok || service.Engine == nil || service.Engine.Sets == 0 {
 		return
 	}
-	view, ok := p.look(ctx)
+	seen, ok := p.look(ctx)
 	if !ok {
 		return
 	}
-	current, ok := p.currentMap(ctx, view, *service.Engine)
+	current, ok := p.currentMap(ctx, seen, *service.Engine)
 	if !ok {
 		return
 	}
-	weights := p.group.weigh(view, *service.Engine)
+	weights := p.group.weigh(seen, *service.Engine)
 	if weights == nil {
 		return
 	}
-	paces := view.paces()
-	p.seat.publish(ctx, view, paces)
+	paces := seen.paces()
+	p.seat.publish(ctx, seen, paces)
 	planner := elmplan.New(service.Engine.Places, service.Engine.Spare).WithTarget(target).WithPaces(paces)
 	next := planner.Improve(current, weights)
 	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
 	least := worthwhile
-	if view.busy(service.Engine.Slots) {
+	if seen.busy(service.Engine.Slots) {
 		least = worthwhileBusy
 	}
 	if before-after < least {
 		return
 	}
-	p.logger.Event(elmlog.MapPlanned, "epoch", view.epoch, "map", view.version, "peak", before, "planned", after)
-	p.change(ctx, view, current, next)
+	p.logger.Event(elmlog.MapPlanned, "epoch", seen.epoch, "map", seen.version, "peak", before, "planned", after)
+	p.change(ctx, seen, current, next)
 }
 
 // currentMap returns the map in use: the one with which a group opens, one that
--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -122,12 +122,12 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	sent := make(chan error, 1)
-	if err := send(c, r, sent); err != nil {
+	if err = send(c, r, sent); err != nil {
 		stop()
 		_ = c.Close()
 		return nil, err
 	}
-	response, err := e.receive(c, r)
+	response, err := e.receive(c, r) //nolint:bodyclose // The Answer owns the connection.
 	if err != nil {
 		stop()
 		_ = c.Close()
--- a/internal/forward/elmexchange/elmexchange_test.go
+++ b/internal/forward/elmexchange/elmexchange_test.go
@@ -216,8 +216,8 @@
 	defer listener.Close() //nolint:errcheck // The test is over.
 	go func() {
 		for {
-			c, err := listener.Accept()
-			if err != nil {
+			c, acceptErr := listener.Accept()
+			if acceptErr != nil {
 				return
 			}
 			go func() {
@@ -234,8 +234,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if body, err := io.ReadAll(a); err != nil || string(body) != "no" {
-		t.Errorf("body %q, error %v", body, err)
+	if body, readErr := io.ReadAll(a); readErr != nil || string(body) != "no" {
+		t.Errorf("body %q, error %v", body, readErr)
 	}
 	a.Close()
 	b, err := x.Do(t.Context(), listener.Addr().String(), request("1"))
--- a/internal/forward/elmflight/elmflight_test.go
+++ b/internal/forward/elmflight/elmflight_test.go
@@ -140,8 +140,15 @@
 // can have run it.
 func TestNeverTwice(t *testing.T) {
 	inputs := []elmflight.Message{
-		elmflight.Unplaced{}, elmflight.Rejected{}, elmflight.Rejected{Spent: true}, elmflight.Broken{},
-		elmflight.Headed{}, elmflight.Ended{}, elmflight.Cut{}, elmflight.Expired{Sent: true}, elmflight.Left{},
+		elmflight.Unplaced{},
+		elmflight.Rejected{},
+		elmflight.Rejected{Spent: true},
+		elmflight.Broken{},
+		elmflight.Headed{},
+		elmflight.Ended{},
+		elmflight.Cut{},
+		elmflight.Expired{Sent: true},
+		elmflight.Left{},
 	}
 	runs := 0
 	var walk func(f elmflight.Flight, command elmflight.Command, mayHaveRun bool, depth int)
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -178,9 +178,11 @@
 func TestUnreadableEntries(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 1, nil)
-	for i, bad := range []string{"", "\xff\xfe", `{"service":1}`, `{"service":"desk"}`, `[]`,
+	for i, bad := range []string{
+		"", "\xff\xfe", `{"service":1}`, `{"service":"desk"}`, `[]`,
 		`{"service":"desk","address":"127.0.0.1:1","zone":"home","slots":4,"state":"asleep","coldLeftMs":0}`,
-		`{"service":"desk","address":"127.0.0.1:1","zone":"home","slots":"4","state":"ready","coldLeftMs":0}`} {
+		`{"service":"desk","address":"127.0.0.1:1","zone":"home","slots":"4","state":"ready","coldLeftMs":0}`,
+	} {
 		w.store.Put(fmt.Sprintf("servers/bad%d", i), []byte(bad))
 	}
 	w.eventually("logged", func() bool { return strings.Count(w.log.String(), "can't be read") >= 7 })
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -115,7 +115,9 @@
 	go func() { w.done <- router.Run(ctx) }()
 	t.Cleanup(func() {
 		stop()
-		<-w.done
+		if err := <-w.done; err != nil {
+			t.Error(err)
+		}
 		storeServer.CloseClientConnections()
 	})
 	w.eventually("ready", func() bool { return w.status("http://"+w.settings.Readiness+platform.ReadinessPath) == http.StatusOK })
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -59,31 +59,21 @@
 // copyBody passes the body on: streams by whole events as they come, others as
 // they are.
 func (v *voyage) copyBody(events bool) error {
-	flusher := http.NewResponseController(v.writer)
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := v.answer.Read(buffer)
 		part := buffer[:n]
+		ended := errors.Is(err, io.EOF)
 		if events {
 			part = v.splitter.Feed(part)
-		}
-		if errors.Is(err, io.EOF) && events {
-			part = append(part, v.splitter.Rest()...)
-		}
-		if len(part) > 0 {
-			if _, writeErr := v.writer.Write(part); writeErr != nil {
-				return errCaller
+			if ended {
+				part = append(part, v.splitter.Rest()...)
 			}
 		}
-		if len(part) > 0 && events {
-			if v.first == 0 {
-				v.first = elmclock.Now()
-			}
-			if flushErr := flusher.Flush(); flushErr != nil {
-				return errCaller
-			}
+		if writeErr := v.write(part, events); writeErr != nil {
+			return writeErr
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			return nil
 		}
 		if err != nil {
@@ -91,3 +81,23 @@
 		}
 	}
 }
+
+// write passes a part of the body to the caller, events at once.
+func (v *voyage) write(part []byte, events bool) error {
+	if len(part) == 0 {
+		return nil
+	}
+	if _, err := v.writer.Write(part); err != nil {
+		return errCaller
+	}
+	if !events {
+		return nil
+	}
+	if v.first == 0 {
+		v.first = elmclock.Now()
+	}
+	if err := http.NewResponseController(v.writer).Flush(); err != nil {
+		return errCaller
+	}
+	return nil
+}
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -95,8 +95,8 @@
 		if age > time.Duration(float64(r.settings.Bounds.Revoke)*revokeMargin) {
 			return a, errRefused{http.StatusServiceUnavailable, reasonStale}
 		}
-		workspace, ok := catalog.Workspace(facts.Credential)
-		if !ok {
+		workspace, known := catalog.Workspace(facts.Credential)
+		if !known {
 			return a, doubtful(age, errRefused{http.StatusUnauthorized, reasonCredential})
 		}
 		a.workspace = workspace.Name
