--- a/internal/expert/elmpilot/change.go
+++ b/internal/expert/elmpilot/change.go
@@ -70,12 +70,12 @@
 			switch c := c.(type) {
 			case elmshift.Send:
 				go func() {
-					outcome := p.ranks.Order(ctx, v.addresses[c.Rank], c.Order)
+					outcome := v.targets[c.Rank].client.Order(ctx, v.targets[c.Rank].address, c.Order)
 					messages <- elmshift.Answered{State: c.State, Rank: c.Rank, Operation: c.Order.Operation, Outcome: outcome}
 				}()
 			case elmshift.Ask:
 				go func() {
-					report, err := p.ranks.Report(ctx, v.addresses[c.Rank])
+					report, err := v.targets[c.Rank].client.Report(ctx, v.targets[c.Rank].address)
 					messages <- elmshift.Reported{State: c.State, Rank: c.Rank, Report: report, Failed: err != nil}
 				}()
 			case elmshift.Wait:
--- a/internal/expert/elmpilot/elmpilot.go
+++ b/internal/expert/elmpilot/elmpilot.go
@@ -38,6 +38,13 @@
 	// callTimeout bounds a call to a rank or its agent: they answer within a
 	// few milliseconds, or not at all.
 	callTimeout = 250 * time.Millisecond
+	// agentTimeout bounds a call to a rank through its agent, whose link may be
+	// busy with the answers of all the others.
+	agentTimeout = 400 * time.Millisecond
+	// countShare is the number of ranks for which counts are asked for in each
+	// round. In larger groups that is done in some rounds only, since they all
+	// come over the planner's link.
+	countShare = 24
 	// roundEvery is the time between two looks at the group.
 	roundEvery = 500 * time.Millisecond
 	// serverTimeout bounds slow callers of the agent.
@@ -51,8 +58,9 @@
 	// worthwhileBusy is the same for ranks that have little room left, where
 	// longer passes make callers wait.
 	worthwhileBusy = 0.15
-	// target is the load of the most loaded rank at which planning stops.
-	target = 1.25
+	// goal is the load of the most loaded rank at which planning stops. Closer
+	// plans follow chance in the demand and copy more than they bring.
+	goal = 1.25
 	// watchEvery is the time between two looks at the own rank.
 	watchEvery = 125 * time.Millisecond
 	// stallPatience is how long a group with work may make no pass before it is
@@ -76,9 +84,11 @@
 	meter    *elmmeter.Meter
 	store    *platform.Store
 	ranks    *platform.Ranks
+	agents   *platform.Ranks
 	group    *group
 	seat     *seat
 	stall    stall
+	rounds   int
 }
 
 // New returns an agent that is not running yet.
@@ -86,7 +96,7 @@
 	store := platform.NewStore(settings.Store)
 	return &Pilot{
 		settings: settings, logger: logger, meter: elmmeter.New(), store: store,
-		ranks: platform.NewRanks(callTimeout),
+		ranks: platform.NewRanks(callTimeout), agents: platform.NewAgents(agentTimeout),
 		group: newGroup(),
 		seat:  newSeat(store, settings, logger),
 	}
@@ -156,7 +166,7 @@
 	if !ok || service.Engine == nil {
 		return
 	}
-	seen, ok := p.look(ctx)
+	seen, ok := p.look(ctx, false)
 	held := seen.held()
 	p.logger.Event(elmlog.GroupStalled, "epoch", report.Epoch, "step", report.Step, "since", now-p.stall.since,
 		"complete", ok, "held", held)
@@ -174,7 +184,8 @@
 	if !ok || service.Engine == nil || service.Engine.Sets == 0 {
 		return
 	}
-	seen, ok := p.look(ctx)
+	p.rounds++
+	seen, ok := p.look(ctx, p.rounds%max(p.group.size()/countShare, 1) == 0)
 	if !ok {
 		return
 	}
@@ -188,13 +199,13 @@
 	}
 	paces := seen.paces()
 	p.seat.publish(ctx, seen, paces)
-	planner := elmplan.New(service.Engine.Places, service.Engine.Spare).WithTarget(target).WithPaces(paces)
-	next := planner.Improve(current, weights)
-	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
 	least := worthwhile
 	if seen.busy(service.Engine.Slots) {
 		least = worthwhileBusy
 	}
+	planner := elmplan.New(service.Engine.Places, service.Engine.Spare).WithTarget(goal).WithPaces(paces)
+	next := planner.Improve(current, weights)
+	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
 	if before-after < least {
 		return
 	}
@@ -215,8 +226,8 @@
 	for s := range m {
 		m[s] = make([][]int, len(v.reports))
 	}
-	for r, address := range v.addresses {
-		version, experts, err := p.ranks.Held(ctx, address)
+	for r, t := range v.targets {
+		version, experts, err := t.client.Held(ctx, t.address)
 		if err != nil || version != v.version || len(experts) != e.Sets {
 			p.logger.Event(elmlog.MapAbandoned, "rank", r, "version", version, "error", err)
 			return nil, false
--- a/internal/expert/elmpilot/group.go
+++ b/internal/expert/elmpilot/group.go
@@ -10,6 +10,8 @@
 	"github.com/elmcove/elmcove/internal/expert/elmplan"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/platform"
 )
 
 // view is what a round has seen of a group: one entry for each rank.
@@ -19,14 +21,22 @@
 	// highest is the highest version that a rank has.
 	highest int64
 	own     int
-	// addresses are where each rank is asked: at its agent, or itself.
-	addresses []string
+	// targets are where each rank is asked: at its agent, or itself.
+	targets []target
+	// counted means that the counts of all ranks were asked for.
+	counted bool
 	// ranks are the ranks' own addresses.
 	ranks   []string
 	reports []elmrank.Report
 	counts  []elmrank.Counts
 }
 
+// target is where a rank is asked and given orders.
+type target struct {
+	address string
+	client  *platform.Ranks
+}
+
 // group is what is remembered of a group from round to round.
 type group struct {
 	maps    map[int64]elmrank.Map
@@ -100,61 +110,81 @@
 	}
 }
 
-// look asks all ranks for their reports and counts, through their agents where
-// they answer. It returns false unless the group is open and complete.
-func (p *Pilot) look(ctx context.Context) (view, bool) {
+// sighting is what one rank has answered.
+type sighting struct {
+	rank   string
+	target target
+	report elmrank.Report
+	counts elmrank.Counts
+	err    error
+}
+
+// look asks all ranks for their reports and, if asked to, for their counts. It
+// returns false unless the group is open and complete.
+func (p *Pilot) look(ctx context.Context, counts bool) (view, bool) {
 	members := p.seat.members(ctx)
-	type answer struct {
-		address string
-		report  elmrank.Report
-		counts  elmrank.Counts
-		err     error
-	}
-	answers := make([]answer, len(members))
+	sightings := make([]sighting, len(members))
 	var wait sync.WaitGroup
 	for i, m := range members {
-		wait.Go(func() {
-			a := &answers[i]
-			a.address = p.agentOf(m)
-			if a.report, a.err = p.ranks.Report(ctx, a.address); a.err != nil {
-				a.address = m
-				a.report, a.err = p.ranks.Report(ctx, a.address)
-				return
-			}
-			// Without counts the last ones stand.
-			a.counts, _ = p.ranks.Picked(ctx, a.address)
-		})
+		wait.Go(func() { sightings[i] = p.sight(ctx, m, counts) })
 	}
 	wait.Wait()
-	v := view{own: -1}
-	for i, a := range answers {
-		if a.err != nil || !a.report.Open || a.report.Group == "" {
+	v := view{own: -1, counted: counts}
+	for _, s := range sightings {
+		if s.err != nil || !s.report.Open || s.report.Group == "" {
 			continue
 		}
-		if v.reports == nil {
-			v.epoch, v.version = a.report.Epoch, a.report.Map
-			n := a.report.Size
-			v.addresses, v.ranks = make([]string, n), make([]string, n)
-			v.reports, v.counts = make([]elmrank.Report, n), make([]elmrank.Counts, n)
-		}
-		if r := a.report.Rank; r < 0 || r >= len(v.reports) || a.report.Epoch != v.epoch || a.report.Map != v.version {
+		if !v.add(s) {
 			return v, false
 		}
-		r := a.report.Rank
-		v.addresses[r], v.ranks[r], v.reports[r], v.counts[r] = a.address, members[i], a.report, a.counts
-		v.highest = max(v.highest, a.report.Map, a.report.Prepared, a.report.Armed)
-		if members[i] == p.settings.Beside {
-			v.own = r
+		if s.rank == p.settings.Beside {
+			v.own = s.report.Rank
 		}
 	}
-	for _, address := range v.addresses {
-		if address == "" {
+	for _, t := range v.targets {
+		if t.client == nil {
 			return v, false
 		}
 	}
 	return v, len(v.reports) > 0 && v.own >= 0
 }
 
+// sight asks one rank through its agent, or itself if the agent does not answer.
+func (p *Pilot) sight(ctx context.Context, rank string, counts bool) sighting {
+	s := sighting{rank: rank, target: target{p.agentOf(rank), p.agents}}
+	if s.report, s.err = s.target.client.Report(ctx, s.target.address); s.err != nil {
+		s.target = target{rank, p.ranks}
+		s.report, s.err = s.target.client.Report(ctx, s.target.address)
+		return s
+	}
+	if !counts {
+		return s
+	}
+	var err error
+	if s.counts, err = s.target.client.Picked(ctx, s.target.address); err != nil {
+		p.logger.Event(elmlog.CountsMissing, "rank", s.report.Rank, "error", err)
+	}
+	return s
+}
+
+// add takes a rank into the view, unless it belongs to another epoch or has
+// another map.
+func (v *view) add(s sighting) bool {
+	if v.reports == nil {
+		v.epoch, v.version = s.report.Epoch, s.report.Map
+		n := s.report.Size
+		v.targets, v.ranks = make([]target, n), make([]string, n)
+		v.reports, v.counts = make([]elmrank.Report, n), make([]elmrank.Counts, n)
+	}
+	r := s.report.Rank
+	if r < 0 || r >= len(v.reports) || s.report.Epoch != v.epoch || s.report.Map != v.version {
+		return false
+	}
+	v.targets[r], v.ranks[r], v.reports[r], v.counts[r] = s.target, s.rank, s.report, s.counts
+	v.highest = max(v.highest, s.report.Map, s.report.Prepared, s.report.Armed)
+	return true
+}
+
 // agentOf returns the address of the agent beside a rank.
 func (p *Pilot) agentOf(rank string) string {
 	host, _, err := net.SplitHostPort(rank)
@@ -164,6 +194,9 @@
 	return net.JoinHostPort(host, strconv.Itoa(p.settings.Ports[0]))
 }
 
+// size returns the number of ranks that were seen last.
+func (g *group) size() int { return len(g.last) }
+
 // weigh adds what was chosen since the last round to the demand, or returns nil
 // while nothing is known.
 func (g *group) weigh(v view, e elmcatalog.Engine) elmplan.Weights {
@@ -176,7 +209,9 @@
 			g.weights[s] = make([]float64, e.Experts)
 		}
 	}
-	total := 0.0
+	if !v.counted {
+		return g.known()
+	}
 	for s := range g.weights {
 		for x := range g.weights[s] {
 			g.weights[s][x] *= decay
@@ -194,11 +229,15 @@
 		}
 		g.last[r] = c
 	}
+	return g.known()
+}
+
+// known returns the demand, or nil if none was seen.
+func (g *group) known() elmplan.Weights {
 	for _, w := range g.weights[0] {
-		total += w
-	}
-	if total == 0 {
-		return nil
+		if w > 0 {
+			return g.weights
+		}
 	}
-	return g.weights
+	return nil
 }
--- a/internal/expert/elmpilot/handler.go
+++ b/internal/expert/elmpilot/handler.go
@@ -1,7 +1,10 @@
 package elmpilot
 
 import (
+	"compress/gzip"
+	"io"
 	"net/http"
+	"strings"
 
 	"github.com/elmcove/elmcove/platform"
 )
@@ -9,6 +12,10 @@
 // orderBytes bounds an order: a map of the largest group.
 const orderBytes = 4 << 20
 
+// packedFrom is the size from which answers are compressed: agents have slow
+// links, and a planner asks all of them.
+const packedFrom = 1 << 10
+
 // handler passes questions and orders on to the rank, which answers its own
 // machine without cost and without delay.
 func (p *Pilot) handler() http.Handler {
@@ -21,13 +28,29 @@
 }
 
 func (p *Pilot) pass(w http.ResponseWriter, r *http.Request) {
-	body := http.MaxBytesReader(w, r.Body, orderBytes)
+	var body io.Reader = http.MaxBytesReader(w, r.Body, orderBytes)
+	if r.Header.Get("Content-Encoding") == "gzip" {
+		unpacked, err := gzip.NewReader(body)
+		if err != nil {
+			http.Error(w, "body can't be decompressed", http.StatusBadRequest)
+			return
+		}
+		body = io.LimitReader(unpacked, orderBytes)
+	}
 	status, document, err := p.ranks.Pass(r.Context(), r.Method, p.settings.Beside, r.URL.RequestURI(), body)
 	if err != nil {
 		http.Error(w, "rank does not answer", http.StatusGatewayTimeout)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if len(document) > packedFrom && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		w.WriteHeader(status)
+		packer := gzip.NewWriter(w)
+		_, _ = packer.Write(document) // The asker sees a short answer.
+		_ = packer.Close()
+		return
+	}
 	w.WriteHeader(status)
 	_, _ = w.Write(document) // The asker sees a short answer.
 }
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -58,6 +58,7 @@
 	RanksSlow           Event = 1526
 	GroupHeld           Event = 1527
 	GroupStalled        Event = 1528
+	CountsMissing       Event = 1529
 	ProcessThawed       Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -108,6 +109,7 @@
 	RanksSlow:           {hclog.Info, "list of slow ranks changed", "Look at the instances of the ranks that stay on it."},
 	GroupHeld:           {hclog.Warn, "group is held and makes no passes", "None. It is released. Look at the instance of the planner."},
 	GroupStalled:        {hclog.Warn, "group has work and makes no passes", "If it is not complete, find the rank that does not answer."},
+	CountsMissing:       {hclog.Info, "rank gave no counts", "None if it is rare. Otherwise look at the link of the planner's instance."},
 	RosterSuspect:       {hclog.Warn, "instance list shrank suddenly and is not believed", "Check the platform's instance list. Links decide until it recovers."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
