--- a/internal/command/elmcommand/elmcommand.go
+++ b/internal/command/elmcommand/elmcommand.go
@@ -36,7 +36,7 @@
 	for _, c := range []*command{entryCommand(), agentCommand(), routerCommand(), pilotCommand()} {
 		commander.Register(c, "processes")
 	}
-	for _, c := range operatorCommands() {
+	for _, c := range append(operatorCommands(), settingsCommand(), causeCommand()) {
 		commander.Register(c, "operators")
 	}
 	for _, c := range []*command{keysCommand(), referenceCommand(), versionCommand()} {
--- a/internal/command/elmcommand/onplatform.go
+++ b/internal/command/elmcommand/onplatform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"os/signal"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/elmcove/elmcove/internal/expert/elmpilot"
 	"github.com/elmcove/elmcove/internal/forward/elmrouter"
+	"github.com/elmcove/elmcove/internal/observe/elmcause"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmsink"
 	"github.com/elmcove/elmcove/platform"
@@ -32,6 +34,51 @@
 		})
 }
 
+// settingsCommand checks the platform's settings file of an instance.
+func settingsCommand() *command {
+	path := os.Getenv(platform.SettingsVariable)
+	return &command{
+		name: "settings", synopsis: "Checks an instance's settings file of the users' platform.",
+		usage: "settings [-settings FILE]",
+		flags: func(f *flag.FlagSet) { f.StringVar(&path, "settings", path, "settings file of the platform") },
+		run: func(context.Context, []string) error {
+			s, err := platform.Load(path)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("instance %s in data centre %s, store %s\n", s.Instance, s.Datacentre, s.Store)
+			return nil
+		},
+	}
+}
+
+// causeCommand tells from logs why a request failed.
+func causeCommand() *command {
+	path := "-"
+	return &command{
+		name: "cause", synopsis: "Tells from the logs of the platform's processes what became of a request.",
+		usage: "cause [-log FILE] REQUEST", args: 1,
+		flags: func(f *flag.FlagSet) { f.StringVar(&path, "log", path, "log file, or - for standard input") },
+		run: func(_ context.Context, args []string) error {
+			log := os.Stdin
+			if path != "-" {
+				file, err := os.Open(path)
+				if err != nil {
+					return err
+				}
+				defer file.Close() //nolint:errcheck // It was only read.
+				log = file
+			}
+			story, err := elmcause.Read(log, args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Print(story)
+			return nil
+		},
+	}
+}
+
 func onPlatform(name, synopsis string, run platformRun) *command {
 	path := os.Getenv(platform.SettingsVariable)
 	return &command{
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -125,7 +125,7 @@
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	callers := r.callerServer(base)
-	failures := make(chan error, 4)
+	failures := make(chan error, 5)
 	servers := []struct {
 		address string
 		server  *http.Server
@@ -134,6 +134,7 @@
 		{r.settings.Readiness, r.plainServer(base, r.readiness())},
 		{r.settings.Control, r.plainServer(base, r.control())},
 		{r.internal(), r.plainServer(base, r.control())},
+		{r.settings.Metrics, r.plainServer(base, r.control())},
 	}
 	for _, s := range servers {
 		if s.address == "" {
--- a/internal/observe/elmlog/elmlog.go
+++ b/internal/observe/elmlog/elmlog.go
@@ -10,6 +10,7 @@
 import (
 	"io"
 	"log"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -17,6 +18,8 @@
 // Logger writes events. It is safe for concurrent use.
 type Logger struct {
 	logger hclog.Logger
+	// limits is nil where all lines are written.
+	limits *limiter
 }
 
 // New returns a Logger for a named process that writes events from a level
@@ -29,9 +32,13 @@
 	})}
 }
 
-// NewJSON returns a Logger that writes each event as a line of JSON.
+// NewJSON returns a Logger that writes events as lines of JSON, a limited number
+// of each event in a second.
 func NewJSON(name string, w io.Writer) *Logger {
-	return &Logger{logger: hclog.New(&hclog.LoggerOptions{Name: name, Output: w, JSONFormat: true})}
+	return &Logger{
+		logger: hclog.New(&hclog.LoggerOptions{Name: name, Output: w, JSONFormat: true}),
+		limits: &limiter{rows: map[Event]*row{}},
+	}
 }
 
 // Standard returns a logger of the standard library that writes to this one.
@@ -50,5 +57,20 @@
 	if !ok {
 		entry = Entry{Level: hclog.Error, Text: "unknown event"}
 	}
-	l.logger.Log(entry.Level, entry.Text, append([]any{"event", int(e)}, pairs...)...)
+	line := append([]any{"event", int(e)}, pairs...)
+	if l.limits != nil {
+		allowed, omitted := l.limits.allow(e, time.Now())
+		if !allowed {
+			return
+		}
+		if omitted > 0 {
+			line = append(line, "omitted", omitted)
+		}
+	}
+	for i, value := range line {
+		if elapsed, ok := value.(time.Duration); ok {
+			line[i] = elapsed.Round(time.Microsecond).String()
+		}
+	}
+	l.logger.Log(entry.Level, entry.Text, line...)
 }
--- /dev/null
+++ b/internal/observe/elmsink/elmsink_test.go
@@ -0,0 +1,37 @@
+package elmsink_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/elmcove/elmcove/internal/observe/elmsink"
+)
+
+// TestReaderThatStops proves that a full pipe never blocks the process, and that
+// what is left out is counted.
+func TestReaderThatStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, writer := io.Pipe()
+		sink := elmsink.New(writer)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		dropped := make(chan int64, 1)
+		wait.Go(func() { sink.Run(ctx, func(n int64) { dropped <- n }) })
+		synctest.Wait()
+		for range 5000 {
+			if _, err := sink.Write([]byte("line\n")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		wait.Go(func() { _, _ = io.Copy(io.Discard, reader) })
+		if n := <-dropped; n < 3000 || n > 5000 {
+			t.Errorf("%d lines left out", n)
+		}
+		cancel()
+		_ = reader.Close()
+		wait.Wait()
+	})
+}
