Plan on entries, so that a frozen planner hides no rank

Change: planners stand on entries; hold, arm and go go to the ranks directly (paid), copies and questions through agents (free). Agents only watch their rank and release a held group.

--- /dev/null
+++ b/internal/expert/elmgroup/view.go
@@ -0,0 +1,68 @@
+package elmgroup
+
+import "github.com/elmcove/elmcove/internal/expert/elmrank"
+
+// busyShare is the part of a group's slots from which it counts as busy.
+const busyShare = 0.75
+
+// View is what was seen of a group, with one entry for each rank.
+type View struct {
+	Epoch   int64
+	Version int64
+	// Highest is the highest version that a rank has.
+	Highest   int64
+	Addresses []string
+	// Agents tells which ranks' agents answer.
+	Agents  []bool
+	Reports []elmrank.Report
+	Counts  []elmrank.Counts
+	// Counted means that the counts were asked for.
+	Counted bool
+}
+
+// add takes a rank into the view, unless it belongs to another epoch or has
+// another map.
+func (v *View) add(s sighting) bool {
+	if v.Reports == nil {
+		n := s.report.Size
+		v.Epoch, v.Version = s.report.Epoch, s.report.Map
+		v.Addresses, v.Agents = make([]string, n), make([]bool, n)
+		v.Reports, v.Counts = make([]elmrank.Report, n), make([]elmrank.Counts, n)
+	}
+	r := s.report.Rank
+	if r < 0 || r >= len(v.Reports) || s.report.Epoch != v.Epoch || s.report.Map != v.Version {
+		return false
+	}
+	v.Addresses[r], v.Agents[r], v.Reports[r], v.Counts[r] = s.address, s.agent, s.report, s.counts
+	v.Highest = max(v.Highest, s.report.Map, s.report.Prepared, s.report.Armed)
+	return true
+}
+
+// Held returns the passes that ranks hold the group from.
+func (v View) Held() map[int]int64 {
+	found := map[int]int64{}
+	for r, report := range v.Reports {
+		if report.Held > report.Step {
+			found[r] = report.Held
+		}
+	}
+	return found
+}
+
+// Paces returns how slow each rank is.
+func (v View) Paces() []float64 {
+	list := make([]float64, len(v.Reports))
+	for r, report := range v.Reports {
+		list[r] = max(report.Pace, 1)
+	}
+	return list
+}
+
+// Busy reports whether ranks with a number of slots have little room left.
+func (v View) Busy(slots int) bool {
+	work := 0
+	for _, report := range v.Reports {
+		work += report.Running + report.Waiting
+	}
+	return float64(work) > busyShare*float64(slots*len(v.Reports))
+}
--- a/internal/expert/elmpilot/elmpilot.go
+++ b/internal/expert/elmpilot/elmpilot.go
@@ -1,11 +1,6 @@
 // Package elmpilot runs the agent process on the users' platform. It stands
-// beside a rank of a lock-step group, passes questions and orders of other
-// agents on to it, and, if it is the group's planner, keeps the group's expert
-// map fitted to what is in demand.
-//
-// One agent of each group plans: the one that holds a lease in the platform's
-// store. The lease saves work, not safety: two planners at once do no harm, as
-// elmshift says.
+// beside a rank of a lock-step group, passes planners' questions and orders on to
+// it, and watches it: a group that a planner has left held is released.
 //
 // # Usage
 //
@@ -22,9 +17,8 @@
 	"strconv"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/expert/elmplan"
+	"github.com/elmcove/elmcove/internal/expert/elmgroup"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
-	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
@@ -35,32 +29,10 @@
 var ErrPilot = errors.New("pilot")
 
 const (
-	// callTimeout bounds a call to a rank or its agent: they answer within a
-	// few milliseconds, or not at all.
+	// callTimeout bounds a call to the own rank.
 	callTimeout = 250 * time.Millisecond
-	// agentTimeout bounds a call to a rank through its agent, whose link may be
-	// busy with the answers of all the others.
-	agentTimeout = 400 * time.Millisecond
-	// countShare is the number of ranks for which counts are asked for in each
-	// round. In larger groups that is done in some rounds only, since they all
-	// come over the planner's link.
-	countShare = 24
-	// roundEvery is the time between two looks at the group.
-	roundEvery = 500 * time.Millisecond
 	// serverTimeout bounds slow callers of the agent.
 	serverTimeout = 5 * time.Second
-	// decay is the part of the demand that is remembered after a round. A
-	// shift of demand is followed within about two seconds.
-	decay = 0.7
-	// worthwhile is the least gain of a new map, as a part of the mean load.
-	// Below it, copying experts costs callers more than the shorter passes give.
-	worthwhile = 0.35
-	// worthwhileBusy is the same for ranks that have little room left, where
-	// longer passes make callers wait.
-	worthwhileBusy = 0.15
-	// goal is the load of the most loaded rank at which planning stops. Closer
-	// plans follow chance in the demand and copy more than they bring.
-	goal = 1.25
 	// watchEvery is the time between two looks at the own rank.
 	watchEvery = 125 * time.Millisecond
 	// stallPatience is how long a group with work may make no pass before it is
@@ -68,13 +40,6 @@
 	// longer than the one before, so that one agent acts.
 	stallPatience = 500 * time.Millisecond
 	stallSpread   = 60 * time.Millisecond
-	// changeTimeout bounds a change up to the point where ranks are armed.
-	changeTimeout = 3 * time.Second
-	// pauseRest is the pause before a rank is asked again.
-	pauseRest = 30 * time.Millisecond
-	// lead is the number of passes from the last known one to a change. Ranks
-	// are armed meanwhile, so that the group does not wait.
-	lead = 3
 )
 
 // Pilot is the agent process beside a rank.
@@ -84,21 +49,16 @@
 	meter    *elmmeter.Meter
 	store    *platform.Store
 	ranks    *platform.Ranks
-	agents   *platform.Ranks
-	group    *group
-	seat     *seat
+	group    *elmgroup.Group
 	stall    stall
-	rounds   int
 }
 
 // New returns an agent that is not running yet.
 func New(settings platform.Settings, logger *elmlog.Logger) *Pilot {
-	store := platform.NewStore(settings.Store)
 	return &Pilot{
-		settings: settings, logger: logger, meter: elmmeter.New(), store: store,
-		ranks: platform.NewRanks(callTimeout), agents: platform.NewAgents(agentTimeout),
-		group: newGroup(),
-		seat:  newSeat(store, settings, logger),
+		settings: settings, logger: logger, meter: elmmeter.New(),
+		store: platform.NewStore(settings.Store), ranks: platform.NewRanks(callTimeout),
+		group: elmgroup.New(settings.Instance, settings.Ports[0], logger),
 	}
 }
 
@@ -113,129 +73,92 @@
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	p.logger.Event(elmlog.Started, "beside", p.settings.Beside, "service", p.settings.Service)
-	go p.plan(ctx)
+	go p.watch(ctx)
 	select {
 	case err = <-failed:
 		return fmt.Errorf("%w: %w", ErrPilot, err)
 	case <-ctx.Done():
 	}
 	p.logger.Event(elmlog.Stopping)
-	p.seat.leave()
 	_ = server.Close() // Callers ask the rank itself.
 	p.logger.Event(elmlog.Stopped)
 	return nil
 }
 
-// plan looks at the group again and again while this agent is its planner, and
-// at its own rank in any case.
-func (p *Pilot) plan(ctx context.Context) {
+// watch looks at the own rank, which costs nothing. If the group makes no passes
+// though there is work, a planner may have held it and died.
+func (p *Pilot) watch(ctx context.Context) {
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
-	for turn := 0; ; turn++ {
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		p.watch(ctx)
-		if turn%int(roundEvery/watchEvery) != 0 {
+		report, err := p.ranks.Report(ctx, p.settings.Beside)
+		if err != nil {
+			p.meter.Count("elmcove_report_failures_total", "rank", "own")
 			continue
 		}
-		if !p.seat.hold(ctx) {
-			p.group.forget()
-			continue
+		now := elmclock.Now()
+		patience := stallPatience + time.Duration(report.Rank)*stallSpread
+		if p.stall.see(report, now) && now-p.stall.since >= patience && now-p.stall.tried >= patience {
+			p.stall.tried = now
+			p.release(ctx, report, now-p.stall.since)
 		}
-		p.round(ctx)
 	}
 }
 
-// watch looks at the own rank, which costs nothing. If the group makes no passes
-// though there is work, a planner may have held it and died.
-func (p *Pilot) watch(ctx context.Context) {
-	report, err := p.ranks.Report(ctx, p.settings.Beside)
+// release looks at the whole group and releases it if it is held.
+func (p *Pilot) release(ctx context.Context, own elmrank.Report, since time.Duration) {
+	members, err := p.members(ctx)
 	if err != nil {
+		p.logger.Event(elmlog.StoreDown, "call", "list ranks", "error", err)
 		return
 	}
-	now := elmclock.Now()
-	patience := stallPatience + time.Duration(report.Rank)*stallSpread
-	if !p.stall.see(report, now) || now-p.stall.since < patience || now-p.stall.tried < patience {
-		return
-	}
-	p.stall.tried = now
-	service, ok := p.seat.service(ctx)
-	if !ok || service.Engine == nil {
-		return
-	}
-	seen, ok := p.look(ctx, false)
-	held := seen.held()
-	p.logger.Event(elmlog.GroupStalled, "epoch", report.Epoch, "step", report.Step, "since", now-p.stall.since,
-		"complete", ok, "held", held)
+	view, ok := p.group.Look(ctx, members, false)
+	held := view.Held()
+	p.logger.Event(elmlog.GroupStalled, "epoch", own.Epoch, "step", own.Step, "since", since, "complete", ok, "held", held)
 	if !ok || len(held) == 0 {
 		return
 	}
-	if current, ok := p.currentMap(ctx, seen, *service.Engine); ok {
-		p.heal(ctx, seen, current, held)
-	}
-}
-
-// round looks at all ranks and acts on what it sees.
-func (p *Pilot) round(ctx context.Context) {
-	service, ok := p.seat.service(ctx)
-	if !ok || service.Engine == nil || service.Engine.Sets == 0 {
+	page, err := p.store.RangeStale(ctx, platform.ConfigKey, "")
+	if err != nil || len(page.Items) == 0 {
+		p.logger.Event(elmlog.StoreDown, "call", "read configuration", "error", err)
 		return
 	}
-	p.rounds++
-	seen, ok := p.look(ctx, p.rounds%max(p.group.size()/countShare, 1) == 0)
-	if !ok {
-		return
-	}
-	current, ok := p.currentMap(ctx, seen, *service.Engine)
-	if !ok {
+	catalog, err := platform.DecodeCatalog(page.Items[0].Value)
+	if err != nil {
+		p.logger.Event(elmlog.ConfigRefused, "error", err)
 		return
 	}
-	weights := p.group.weigh(seen, *service.Engine)
-	if weights == nil {
+	service, known := catalog.Service(p.settings.Service)
+	if !known || service.Engine == nil {
 		return
 	}
-	paces := seen.paces()
-	p.seat.publish(ctx, seen, paces)
-	least := worthwhile
-	if seen.busy(service.Engine.Slots) {
-		least = worthwhileBusy
+	if current, known := p.group.Map(ctx, view, *service.Engine); known {
+		p.group.Heal(ctx, view, current, held)
 	}
-	planner := elmplan.New(service.Engine.Places, service.Engine.Spare).WithTarget(goal).WithPaces(paces)
-	next := planner.Improve(current, weights)
-	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
-	if before-after < least {
-		return
-	}
-	p.logger.Event(elmlog.MapPlanned, "epoch", seen.epoch, "map", seen.version, "peak", before, "planned", after)
-	p.change(ctx, seen, current, next)
 }
 
-// currentMap returns the map in use: the one with which a group opens, one that
-// this agent has planned, or else what the ranks say.
-func (p *Pilot) currentMap(ctx context.Context, v view, e elmcatalog.Engine) (elmrank.Map, bool) {
-	if v.version == 0 {
-		return elmrank.First(e.Sets, e.Experts, len(v.reports)), true
-	}
-	if m, ok := p.group.maps[v.version]; ok {
-		return m, true
-	}
-	m := make(elmrank.Map, e.Sets)
-	for s := range m {
-		m[s] = make([][]int, len(v.reports))
-	}
-	for r, t := range v.targets {
-		version, experts, err := t.client.Held(ctx, t.address)
-		if err != nil || version != v.version || len(experts) != e.Sets {
-			p.logger.Event(elmlog.MapAbandoned, "rank", r, "version", version, "error", err)
-			return nil, false
+// members returns the addresses of the group's ranks, from an answer of the store
+// that may be seconds old.
+func (p *Pilot) members(ctx context.Context) ([]string, error) {
+	var found []string
+	for after, more := "", true; more; {
+		page, err := p.store.RangeStale(ctx, platform.EndpointPrefix, after)
+		if err != nil {
+			return nil, err
 		}
-		for s := range experts {
-			m[s][r] = experts[s]
+		for _, i := range page.Items {
+			_, id := platform.ClassifyKey(i.Key)
+			if e, err := platform.DecodeEndpoint(id, i.Value); err == nil && e.Service == p.settings.Service {
+				found = append(found, e.Address)
+			}
+			after = i.Key
 		}
+		more = page.More && len(page.Items) > 0
 	}
-	p.group.maps[v.version] = m
-	return m, true
+	return found, nil
 }
--- a/internal/expert/elmpilot/elmpilot_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -1,4 +1,4 @@
-package elmpilot_test
+package elmplanner_test
 
 import (
 	"encoding/json"
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/expert/elmpilot"
+	"github.com/elmcove/elmcove/internal/expert/elmplanner"
+	"github.com/elmcove/elmcove/internal/forward/elmfollower"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
 	"github.com/elmcove/elmcove/platform/stand"
@@ -65,6 +67,22 @@
 	return w
 }
 
+// plan runs the planner of an entry.
+func (w *world) plan(t *testing.T, name string) {
+	t.Helper()
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	logger := elmlog.NewJSON(name, w.logs)
+	follower := elmfollower.New(store, logger)
+	settings := platform.Settings{Instance: name, Ports: []int{port}, Lease: time.Second}
+	var wait sync.WaitGroup
+	wait.Go(func() { follower.Run(t.Context()) })
+	wait.Go(func() { elmplanner.New(settings, store, follower.Belief, logger).Run(t.Context()) })
+	t.Cleanup(wait.Wait)
+}
+
 // start runs a rank and the agent beside it on the loopback address 127.0.1.r.
 func (w *world) start(t *testing.T, r int, store string) {
 	t.Helper()
@@ -112,6 +130,8 @@
 // ranks, and no pass ever mixes two maps.
 func TestExpertShift(t *testing.T) {
 	w := newWorld(t)
+	w.plan(t, "entry-1")
+	w.plan(t, "entry-2")
 	for _, hot := range []int{2, 5} {
 		w.eventually(t, "copied", func() bool {
 			w.group.Choose(hot, 200)
@@ -121,7 +141,7 @@
 	if _, mixed := w.group.Version(); mixed {
 		t.Error("a pass mixed two maps")
 	}
-	if planner := w.store.Value("elmcove/planner/draft"); !strings.HasPrefix(planner, "agent-") {
+	if planner := w.store.Value("elmcove/planner/draft"); !strings.HasPrefix(planner, "entry-") {
 		t.Errorf("planner %q", planner)
 	}
 }
@@ -130,7 +150,6 @@
 // that see no passes.
 func TestHeldGroup(t *testing.T) {
 	w := newWorld(t)
-	w.eventually(t, "planned for", func() bool { return w.store.Value("elmcove/planner/draft") != "" })
 	w.group.Hold(2)
 	if w.group.Pass() {
 		t.Fatal("the group is not held")
--- a/internal/expert/elmshift/elmshift.go
+++ b/internal/expert/elmshift/elmshift.go
@@ -52,8 +52,8 @@
 	// orderTries bounds the orders to one rank in a phase that may fail.
 	orderTries = 8
 	// VersionStride is the distance between two versions of one planner. It is
-	// larger than any group, so that planners never share a version.
-	VersionStride = 128
+	// large enough for planners to be told apart by a hash of their names.
+	VersionStride = 1 << 20
 )
 
 //go:embed shift.json
@@ -71,6 +71,8 @@
 	Next    elmrank.Map
 	// Own is the rank that holds the group.
 	Own int
+	// Planner is less than VersionStride and differs between planners.
+	Planner int64
 	// Lead is the number of passes from the last known one to the change.
 	Lead int64
 	// After is the last pass that the own rank has held in this epoch, or 0.
@@ -393,8 +395,12 @@
 	return o
 }
 
+// Next returns a version of a planner that is higher than another version.
+func Next(highest, planner int64) int64 {
+	return (highest/VersionStride+1)*VersionStride + planner
+}
+
 // nextVersion returns a version of this planner that is higher than all known.
 func (s Shift) nextVersion() int64 {
-	own := int64(s.plan.Own)
-	return (s.version/VersionStride+1)*VersionStride + own
+	return Next(s.version, s.plan.Planner)
 }
--- a/internal/expert/elmshift/elmshift_test.go
+++ b/internal/expert/elmshift/elmshift_test.go
@@ -20,13 +20,13 @@
 
 func plan(g *group, own int, version int64) elmshift.Plan {
 	m := elmrank.First(1, 4, len(g.ranks))
-	return elmshift.Plan{Version: version, Epoch: g.epoch, Current: m, Next: m, Own: own, Lead: 2, After: g.after[own]}
+	return elmshift.Plan{Version: version, Epoch: g.epoch, Current: m, Next: m, Own: own, Planner: int64(own), Lead: 2, After: g.after[own]}
 }
 
 func newPlanner(g *group, own int) *planner {
 	version := int64(own)
 	for _, k := range g.ranks {
-		version = max(version, (k.highest/elmshift.VersionStride+1)*elmshift.VersionStride+int64(own))
+		version = max(version, elmshift.Next(k.highest, int64(own)))
 	}
 	p := &planner{own: own}
 	p.shift, p.pending = elmshift.New(plan(g, own, version), g.reports())
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/expert/elmplanner"
 	"github.com/elmcove/elmcove/internal/forward/elmexchange"
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
 	"github.com/elmcove/elmcove/internal/forward/elmpeers"
@@ -152,11 +153,15 @@
 	go r.register(base)
 	go r.tell(base)
 	go r.tidy(base)
+	planning, endPlanning := context.WithCancel(base)
+	defer endPlanning()
+	go elmplanner.New(r.settings, r.store, r.follower.Belief, r.logger).Run(planning)
 	select {
 	case err := <-failures:
 		return fmt.Errorf("%w: %w", ErrRouter, err)
 	case <-ctx.Done():
 	}
+	endPlanning()
 	r.drain(callers)
 	r.logger.Event(elmlog.Stopped)
 	return nil
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -59,6 +59,7 @@
 	GroupHeld           Event = 1527
 	GroupStalled        Event = 1528
 	CountsMissing       Event = 1529
+	MapUnknown          Event = 1530
 	ProcessThawed       Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -101,7 +102,7 @@
 	DatacentreReturned:  {hclog.Info, "data centre taken back", adviceNone},
 	GroupBroken:         {hclog.Warn, "group is broken", "Find the endpoint that is blamed."},
 	GroupOpen:           {hclog.Info, "group is open", adviceNone},
-	PlannerChosen:       {hclog.Info, "this agent plans the group's expert map", adviceNone},
+	PlannerChosen:       {hclog.Info, "this entry plans the group's expert map", adviceNone},
 	MapPlanned:          {hclog.Info, "expert map planned", adviceNone},
 	MapChanged:          {hclog.Info, "expert map changes", adviceNone},
 	MapAbandoned:        {hclog.Warn, "change of the expert map given up", "None if it is rare. Otherwise look at the ranks that it waited for."},
@@ -110,6 +111,7 @@
 	GroupHeld:           {hclog.Warn, "group is held and makes no passes", "None. It is released. Look at the instance of the planner."},
 	GroupStalled:        {hclog.Warn, "group has work and makes no passes", "If it is not complete, find the rank that does not answer."},
 	CountsMissing:       {hclog.Info, "rank gave no counts", "None if it is rare. Otherwise look at the link of the planner's instance."},
+	MapUnknown:          {hclog.Warn, "expert map in use can't be read", "None if it is rare. Otherwise look at the agent of the rank."},
 	RosterSuspect:       {hclog.Warn, "instance list shrank suddenly and is not believed", "Check the platform's instance list. Links decide until it recovers."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
