--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES := ./...
 
 # capacity measures the slopes that docs/CAPACITY.md is worked out from.
-.PHONY: capacity build demo up test generate generated lint format measure bench
+.PHONY: soak capacity build demo up test generate generated lint format measure bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -49,5 +49,11 @@
 measure: build
 	bin/elmmeasure -bin bin > docs/MEASURES.md
 
+# Seeds and their first are set with SEEDS=50 SEED=1.
+SEEDS ?= 5
+SEED ?= 1
+soak: build
+	bin/elmsoak -bin bin -seed $(SEED) -seeds $(SEEDS)
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -28,8 +28,11 @@
 )
 
 const (
-	// roundEvery is the time between two looks at a group.
+	// roundEvery is the time between two looks at a group, and soonEvery that
+	// while the group is not open or has just opened: until its map fits, passes
+	// take several times as long.
 	roundEvery = 500 * time.Millisecond
+	soonEvery  = 125 * time.Millisecond
 	// countShare is the number of ranks for which counts are asked for in each
 	// round. In larger groups that is done in some rounds only.
 	countShare = 24
@@ -62,6 +65,8 @@
 	demand *demand
 	rounds int
 	slow   string
+	// next is the time of the next look.
+	next time.Duration
 }
 
 // New returns a planner that is not running yet.
@@ -71,7 +76,7 @@
 
 // Run plans until the context ends.
 func (p *Planner) Run(ctx context.Context) {
-	ticker := time.NewTicker(roundEvery)
+	ticker := time.NewTicker(soonEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -104,26 +109,34 @@
 		g.demand, g.slow = &demand{}, ""
 		return
 	}
-	p.round(ctx, s, g)
+	if elmclock.Now() < g.next {
+		return
+	}
+	rest := soonEvery
+	if p.round(ctx, s, g) {
+		rest = roundEvery
+	}
+	g.next = elmclock.Now() + rest
 }
 
-// round looks at all ranks and changes their map if that is worthwhile.
-func (p *Planner) round(ctx context.Context, s elmcatalog.Service, g *post) {
+// round looks at all ranks and changes their map if that is worthwhile. It returns
+// false while the group is not open or still has the map with which it opened.
+func (p *Planner) round(ctx context.Context, s elmcatalog.Service, g *post) bool {
 	g.rounds++
 	members := addresses(p.belief().Ranks(s.Name))
 	view, ok := g.group.Look(ctx, members, g.rounds%max(len(members)/countShare, 1) == 0)
 	if !ok {
-		return
+		return false
 	}
 	current, ok := g.group.Map(ctx, view, *s.Engine)
 	if !ok {
-		return
+		return true
 	}
 	weights := g.demand.add(view, *s.Engine)
 	paces := view.Paces()
 	p.publish(ctx, s.Name, g, view, paces)
 	if weights == nil || len(view.Held()) > 0 {
-		return
+		return view.Version != 0
 	}
 	least := worthwhile
 	if view.Busy(s.Engine.Slots) {
@@ -133,10 +146,11 @@
 	next := planner.Improve(current, weights)
 	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
 	if before-after < least {
-		return
+		return true
 	}
 	p.logger.Event(elmlog.MapPlanned, "service", s.Name, "epoch", view.Epoch, "map", view.Version, "peak", before, "planned", after)
 	g.group.Change(ctx, view, current, next)
+	return true
 }
 
 func addresses(members []elmbelief.Member) []string {
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -195,9 +195,14 @@
 // this entry alone.
 const retryShort = 300 * time.Millisecond
 
+// latestReturn is the part of a caller's time within which it returns: callers
+// honour a third.
+const latestReturn = 0.33
+
 // comeBack returns when a caller should be back: about wait from now, spread so
 // that callers do not return together, and no later than callers honour.
 func comeBack(left, wait time.Duration) time.Duration {
 	spread := time.Duration((0.8 + 0.4*rand.Float64()) * float64(wait))
-	return max(min(spread, left*3/10), time.Millisecond)
+	latest := time.Duration(latestReturn * (0.93 + 0.07*rand.Float64()) * float64(left))
+	return max(min(spread, latest), time.Millisecond)
 }
--- /dev/null
+++ b/internal/stand/elmsoak/elmsoak_test.go
@@ -0,0 +1,34 @@
+package elmsoak_test
+
+import (
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/stand/elmsoak"
+)
+
+// seeds are those of CI. A seed that ever failed is added with a line on its
+// cause.
+var seeds = map[string]uint64{
+	"first": 1,
+}
+
+func TestSoak(t *testing.T) {
+	bin := t.TempDir()
+	if output, err := exec.Command("go", "build", "-race", "-o", bin, "../../../cmd/elmcove").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	for name, seed := range seeds {
+		t.Run(name, func(t *testing.T) {
+			report, err := elmsoak.Run(t.Context(), elmsoak.Plan{Bin: bin, Seed: seed, Length: 5 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", report)
+			for _, b := range report.Broken {
+				t.Error(b)
+			}
+		})
+	}
+}
