--- a/internal/forward/elmrouter/fly.go
+++ b/internal/forward/elmrouter/fly.go
@@ -25,7 +25,7 @@
 	minimalTime = 20 * time.Millisecond
 	// returnPatience is how long the request of a returning caller waits for a
 	// place: callers give streams up after two seconds without an event.
-	returnPatience = 1850 * time.Millisecond
+	returnPatience = 1600 * time.Millisecond
 	// returnMargin is left of the caller's time for the work itself.
 	returnMargin = 300 * time.Millisecond
 	// returnShare is the part of the usual time below which a caller is taken
