--- a/internal/agent/elmagent/elmagent.go
+++ b/internal/agent/elmagent/elmagent.go
@@ -29,7 +29,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/observe/elmtrace"
-	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/registry/elmstore"
 	"github.com/elmcove/elmcove/internal/wire/elmkeys"
 	"github.com/elmcove/elmcove/internal/wire/elmlink"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
--- a/internal/command/elmcommand/errors.go
+++ b/internal/command/elmcommand/errors.go
@@ -5,7 +5,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/registry/elmstore"
 )
 
 var (
--- a/internal/config/elmsite/elmsite.go
+++ b/internal/config/elmsite/elmsite.go
@@ -25,7 +25,7 @@
 	"github.com/elmcove/elmcove/internal/config/elmjournal"
 	"github.com/elmcove/elmcove/internal/entry/elmentry"
 	"github.com/elmcove/elmcove/internal/entry/elmledger"
-	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/registry/elmstore"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
 
--- a/internal/entry/elmentry/follow.go
+++ b/internal/entry/elmentry/follow.go
@@ -11,7 +11,7 @@
 	"github.com/elmcove/elmcove/internal/config/elmholder"
 	"github.com/elmcove/elmcove/internal/config/elmjournal"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
-	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/registry/elmstore"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
--- a/internal/platform/elmroster/elmroster_test.go
+++ b/internal/registry/elmroster/elmroster_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/elmcove/elmcove/internal/platform/elmroster"
+	"github.com/elmcove/elmcove/internal/registry/elmroster"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
 
--- a/internal/platform/elmstore/elmstore_test.go
+++ b/internal/registry/elmstore/elmstore_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/elmcove/elmcove/internal/platform/elmstore"
+	"github.com/elmcove/elmcove/internal/registry/elmstore"
 	"github.com/elmcove/elmcove/internal/stand/elmplatform"
 )
 
