--- a/internal/observe/elmcause/elmcause.go
+++ b/internal/observe/elmcause/elmcause.go
@@ -74,8 +74,10 @@
 			continue
 		}
 		if slices.Contains(context, elmlog.Event(line.Event)) {
-			known := append(beliefs[line.Instance], line)
-			beliefs[line.Instance] = known[max(0, len(known)-contextLines):]
+			beliefs[line.Instance] = append(beliefs[line.Instance], line)
+			if known := beliefs[line.Instance]; len(known) > contextLines {
+				beliefs[line.Instance] = known[1:]
+			}
 		}
 	}
 	if err := scanner.Err(); err != nil {
--- a/internal/stand/elmsoak/ledger.go
+++ b/internal/stand/elmsoak/ledger.go
@@ -47,17 +47,7 @@
 func (l *ledger) check(list []*stand.Endpoint, calmFrom time.Time) Report {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	ran := map[string]int{}
-	for _, e := range list {
-		for _, r := range e.Runs() {
-			if r.Ran {
-				ran[r.Attempt]++
-			}
-			if r.Body != "body of "+r.Attempt {
-				l.faults = append(l.faults, fmt.Sprintf("%s ran with the body %q", r.Attempt, r.Body))
-			}
-		}
-	}
+	ran := l.runs(list)
 	report := Report{Requests: len(l.answers)}
 	calm, calmServed := 0, 0
 	for _, a := range l.answers {
@@ -85,6 +75,22 @@
 	return report
 }
 
+// runs counts how often each request ran, and checks what endpoints got.
+func (l *ledger) runs(list []*stand.Endpoint) map[string]int {
+	ran := map[string]int{}
+	for _, e := range list {
+		for _, r := range e.Runs() {
+			if r.Ran {
+				ran[r.Attempt]++
+			}
+			if r.Body != "body of "+r.Attempt {
+				l.faults = append(l.faults, fmt.Sprintf("%s ran with the body %q", r.Attempt, r.Body))
+			}
+		}
+	}
+	return ran
+}
+
 // judge checks one answer.
 func (l *ledger) judge(a answer, ran int) {
 	broken := func(text string) {
