--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -32,6 +32,9 @@
 	// callTimeout bounds a call to a rank: it answers within a few milliseconds,
 	// or not at all.
 	callTimeout = 250 * time.Millisecond
+	// orderTimeout bounds an order for which the group may be waiting: it is
+	// answered within a few milliseconds, or not at all, and then sent again.
+	orderTimeout = 60 * time.Millisecond
 	// agentTimeout bounds a call to a rank through its agent, whose link may be
 	// busy with the answers of all the others.
 	agentTimeout = 400 * time.Millisecond
@@ -49,6 +52,7 @@
 	planner int64
 	port    int
 	ranks   *platform.Ranks
+	orders  *platform.Ranks
 	agents  *platform.Ranks
 	logger  *elmlog.Logger
 
@@ -66,7 +70,7 @@
 func New(name string, port int, logger *elmlog.Logger) *Group {
 	return &Group{
 		planner: int64(xxhash.Sum64String(name) % elmshift.VersionStride), port: port,
-		ranks: platform.NewRanks(callTimeout), agents: platform.NewAgents(agentTimeout),
+		ranks: platform.NewRanks(callTimeout), orders: platform.NewRanks(orderTimeout), agents: platform.NewAgents(agentTimeout),
 		logger: logger, maps: map[int64]elmrank.Map{},
 	}
 }
@@ -254,9 +258,12 @@
 func (g *Group) send(ctx context.Context, v View, c elmshift.Send) elmshift.Message {
 	address := v.Addresses[c.Rank]
 	answered := elmshift.Answered{State: c.State, Rank: c.Rank, Operation: c.Order.Operation}
-	if c.Order.Operation == elmrank.Prepare && v.Agents[c.Rank] {
+	switch {
+	case c.Order.Operation != elmrank.Prepare:
+		answered.Outcome = g.orders.Order(ctx, address, c.Order)
+	case v.Agents[c.Rank]:
 		answered.Outcome = g.agents.Order(ctx, g.agentOf(address), c.Order)
-	} else {
+	default:
 		answered.Outcome = g.ranks.Order(ctx, address, c.Order)
 	}
 	return answered
--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -159,3 +159,30 @@
 		t.Error("no line tells of the repair")
 	}
 }
+
+// TestOrdersWithoutAnswer: a map is changed though ranks leave a third of the
+// orders unanswered, and the group does not wait for long.
+func TestOrdersWithoutAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.group.Ignore(3)
+	w.plan(t, "entry-1")
+	longest := time.Duration(0)
+	heldSince := time.Time{}
+	for _, hot := range []int{2, 5} {
+		w.eventually(t, "copied", func() bool {
+			w.group.Choose(hot, 200)
+			if w.group.Pass() {
+				heldSince = time.Time{}
+			} else if heldSince.IsZero() {
+				heldSince = time.Now()
+			}
+			if !heldSince.IsZero() {
+				longest = max(longest, time.Since(heldSince))
+			}
+			return w.group.Holders(hot) > 1
+		})
+	}
+	if longest > 400*time.Millisecond {
+		t.Errorf("the group waited for %v", longest)
+	}
+}
--- a/internal/forward/elmbelief/elmbelief.go
+++ b/internal/forward/elmbelief/elmbelief.go
@@ -170,7 +170,7 @@
 	var notices []Notice
 	seen := map[string]bool{}
 	for _, c := range m.Changes {
-		notices = append(notices, next.apply(c, m.Sent, lost, seen)...)
+		notices = append(notices, next.apply(c, m, lost, seen)...)
 	}
 	if m.Whole {
 		notices = append(notices, next.dropMissing(m.Sent, lost, seen)...)
@@ -188,7 +188,7 @@
 }
 
 // apply changes the maps of b, which are copies.
-func (b *Belief) apply(c Change, at time.Duration, lost bool, seen map[string]bool) []Notice {
+func (b *Belief) apply(c Change, m Read, lost bool, seen map[string]bool) []Notice {
 	switch c := c.(type) {
 	case Configured:
 		if c.Catalog.Version() <= b.catalog.Version() {
@@ -198,9 +198,9 @@
 		return []Notice{Adopted{Version: c.Catalog.Version()}}
 	case Listed:
 		seen[c.Endpoint.ID] = true
-		return b.list(c.Endpoint, at, lost)
+		return b.list(c.Endpoint, max(m.Sent, m.Got), lost)
 	case Unlisted:
-		return b.unlist(c.ID, at, lost)
+		return b.unlist(c.ID, m.Sent, lost)
 	case Withdrawn:
 		seen[withdrawnMark+c.Datacentre] = true
 		return b.move(c, lost)
--- a/internal/forward/elmbelief/elmbelief_test.go
+++ b/internal/forward/elmbelief/elmbelief_test.go
@@ -151,3 +151,15 @@
 		t.Errorf("notices %d, %d, %d; want 3, 0, 3", len(first), len(again), len(last))
 	}
 }
+
+// TestColdRunsFromTheAnswer: a watch waits for its answer, so the time for which
+// an endpoint stays cold runs from the answer and not from the question.
+func TestColdRunsFromTheAnswer(t *testing.T) {
+	read := some(second, 6, listed("a", false))
+	read.Got = 2 * second
+	b, _ := elmbelief.New().Update(whole(0, 5))
+	b, _ = b.Update(read)
+	if until := b.Members("s", 2*second)[0].ColdUntil; until != 3*second {
+		t.Errorf("cold until %v, want 3s", until)
+	}
+}
--- a/internal/forward/elmbelief/messages.go
+++ b/internal/forward/elmbelief/messages.go
@@ -12,10 +12,12 @@
 
 type (
 	// Read reports an answer of the store, or of a neighbour that had it from
-	// the store. Sent is when the read was sent. Whole means that Changes are
-	// all that there is; otherwise they follow the revision known before.
+	// the store. Sent is when the read was sent, and Got when its answer came.
+	// Whole means that Changes are all that there is; otherwise they follow the
+	// revision known before.
 	Read struct {
 		Sent     time.Duration
+		Got      time.Duration
 		Revision int64
 		Whole    bool
 		Changes  []Change
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -228,7 +228,9 @@
 		}
 		f.items[i.Key] = i
 	}
-	next, notices := belief.Update(elmbelief.Read{Sent: sent, Revision: revision, Whole: whole, Changes: f.changes(items)})
+	next, notices := belief.Update(elmbelief.Read{
+		Sent: sent, Got: elmclock.Now(), Revision: revision, Whole: whole, Changes: f.changes(items),
+	})
 	f.belief.Store(&next)
 	for _, n := range notices {
 		f.log(n, next)
