Change the maps of groups with room for a gain of 0.35 again

Ruled out: entries that were drained at the time (their streams were served), slow ranks (from 19 s only).

--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -38,7 +38,7 @@
 	countShare = 24
 	// worthwhile is the least gain of a new map, as a part of the mean load.
 	// Below it, copying experts costs callers more than the shorter passes give.
-	worthwhile = 0.6
+	worthwhile = 0.35
 	// worthwhileBusy is the same for ranks that have little room left, where
 	// longer passes make callers wait.
 	worthwhileBusy = 0.15
