Count entries for a while after the store has dropped them

Cause (found by reading): where leases run out in an outage of the store, all entries are missing from the list until each has registered again, up to 3 s later; until then each took the limits that all share for itself. TestEntriesThatVanishTogether was red first (46 requests to a cold endpoint in a second instead of 8). Beside it the observer of expert maps is shown red for the naive order of steps.

--- a/internal/expert/elmshift/elmshift_test.go
+++ b/internal/expert/elmshift/elmshift_test.go
@@ -236,3 +236,18 @@
 		t.Error("too few schedules changed the map to prove anything")
 	}
 }
+
+// TestNaiveOrder shows that the observer sees two maps in a pass when ranks are
+// armed without a hold and one order is lost.
+func TestNaiveOrder(t *testing.T) {
+	g := newGroup(3)
+	for r := range g.ranks {
+		g.carryOut(elmshift.Send{Rank: r, Order: elmrank.Order{Operation: elmrank.Prepare, Version: 7, Epoch: 1}})
+	}
+	for r := range 2 { // The order to the third rank is lost.
+		g.carryOut(elmshift.Send{Rank: r, Order: elmrank.Order{Operation: elmrank.Arm, Version: 7, Epoch: 1, Step: g.step + 1}})
+	}
+	if g.pass(); g.mixed == "" {
+		t.Error("the observer saw nothing")
+	}
+}
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -50,6 +50,9 @@
 	// safety is the part of the shared limits that is used, so that differing
 	// views of the number of entries do not exceed them.
 	safety = 0.75
+	// entriesLife is the time for which entries that are no longer listed count:
+	// several times that in which they list themselves again.
+	entriesLife = 15 * time.Second
 	// brokenLife is the time after which a group that was found broken is
 	// tried again if no report says that it is open.
 	brokenLife = 2 * time.Second
@@ -114,6 +117,7 @@
 	settings  Settings
 	random    *rand.Rand
 	entries   int
+	counted   time.Duration
 	endpoints map[string]*endpoint
 	peers     map[string]peer
 	services  map[string]*service
@@ -149,8 +153,14 @@
 	}
 }
 
-// SetEntries tells how many entries share the limits, this one included.
-func (p *Placer) SetEntries(n int) { p.entries = max(n, 1) }
+// SetEntries tells how many entries share the limits, this one included. Entries
+// that are no longer listed still count for a while: after an outage of the store
+// all of them may be missing until they have listed themselves again.
+func (p *Placer) SetEntries(n int, now time.Duration) {
+	if n >= p.entries || now-p.counted > entriesLife {
+		p.entries, p.counted = max(n, 1), now
+	}
+}
 
 // Key shortens the identity of an endpoint for the messages between entries.
 func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
--- a/internal/forward/elmplace/elmplace_test.go
+++ b/internal/forward/elmplace/elmplace_test.go
@@ -98,7 +98,7 @@
 // entry's part of what cold endpoints bear, in any second.
 func TestColdReturn(t *testing.T) {
 	p := newPlacer()
-	p.SetEntries(7)
+	p.SetEntries(7, 0)
 	list := members(2)
 	list[0].ColdUntil = 10 * time.Second
 	sent := map[int]int{}
@@ -185,7 +185,7 @@
 	var placers []*elmplace.Placer
 	for range entries {
 		p := newPlacer()
-		p.SetEntries(entries)
+		p.SetEntries(entries, 0)
 		placers = append(placers, p)
 	}
 	requests, repeats := map[int]int{}, map[int]int{}
@@ -213,6 +213,38 @@
 	}
 }
 
+// TestEntriesThatVanishTogether: the store may drop the entries of all when it
+// comes back from an outage; the part of each stays small until they would have
+// been listed again.
+func TestEntriesThatVanishTogether(t *testing.T) {
+	for name, c := range map[string]struct {
+		at   time.Duration
+		want int
+	}{
+		"just vanished": {time.Second, 8},
+		"still missing": {time.Minute, 46},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer()
+			p.SetEntries(7, 0)
+			p.SetEntries(1, c.at)
+			list := members(2)
+			list[0].ColdUntil = time.Hour
+			sent := 0
+			for range 100 {
+				if m, verdict := p.Pick(elmplace.Query{Service: engines, Tried: []string{"e1"}}, list, c.at); verdict == elmplace.Placed {
+					p.Begin(m.ID, c.at)
+					p.End(m.ID, elmplace.Served, 0, c.at)
+					sent++
+				}
+			}
+			if sent != c.want {
+				t.Errorf("%d requests to a cold endpoint in a second, want %d", sent, c.want)
+			}
+		})
+	}
+}
+
 // TestTriedEndpoints: a request never goes to the same endpoint twice.
 func TestTriedEndpoints(t *testing.T) {
 	p := newPlacer()
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -94,9 +94,9 @@
 		near, far := r.others()
 		r.peers.SetOthers(addressesOf(near), addressesOf(far))
 		message := &elmpeer.Loads{Entry: r.settings.Instance}
-		slow := r.slow()
+		slow, now := r.slow(), elmclock.Now()
 		r.mutex.Lock()
-		r.placer.SetEntries(len(near) + len(far) + 1)
+		r.placer.SetEntries(len(near)+len(far)+1, now)
 		r.placer.SetSlow(slow)
 		for id, open := range r.placer.Loads() {
 			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
