--- a/internal/command/elmcommand/elmcommand.go
+++ b/internal/command/elmcommand/elmcommand.go
@@ -33,7 +33,7 @@
 func Register(commander *subcommands.Commander) {
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
-	for _, c := range []*command{entryCommand(), agentCommand(), routerCommand(), pilotCommand()} {
+	for _, c := range []*command{entryCommand(), agentCommand(), routerCommand(), rankAgentCommand()} {
 		commander.Register(c, "processes")
 	}
 	for _, c := range append(operatorCommands(), settingsCommand(), causeCommand()) {
--- a/internal/command/elmcommand/onplatform.go
+++ b/internal/command/elmcommand/onplatform.go
@@ -9,7 +9,7 @@
 	"sync"
 	"syscall"
 
-	"github.com/elmcove/elmcove/internal/expert/elmpilot"
+	"github.com/elmcove/elmcove/internal/expert/elmrankagent"
 	"github.com/elmcove/elmcove/internal/forward/elmrouter"
 	"github.com/elmcove/elmcove/internal/observe/elmcause"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
@@ -27,10 +27,10 @@
 		})
 }
 
-func pilotCommand() *command {
-	return onPlatform("pilot", "Runs the agent process on the users' platform.",
+func rankAgentCommand() *command {
+	return onPlatform("rank-agent", "Runs the agent process on the users' platform.",
 		func(ctx context.Context, s platform.Settings, l *elmlog.Logger) error {
-			return elmpilot.New(s, l).Run(ctx)
+			return elmrankagent.New(s, l).Run(ctx)
 		})
 }
 
--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// sighting is what one rank has answered.
-type sighting struct {
+// rankAnswer is what one rank has answered.
+type rankAnswer struct {
 	address string
 	agent   bool
 	report  elmrank.Report
@@ -87,14 +87,14 @@
 // Look asks all ranks for their reports and, if asked to, for their counts. It
 // returns false unless the group is open and complete.
 func (g *Group) Look(ctx context.Context, members []string, counts bool) (View, bool) {
-	sightings := make([]sighting, len(members))
+	answers := make([]rankAnswer, len(members))
 	var wait sync.WaitGroup
 	for i, address := range members {
-		wait.Go(func() { sightings[i] = g.sight(ctx, address, counts) })
+		wait.Go(func() { answers[i] = g.askRank(ctx, address, counts) })
 	}
 	wait.Wait()
 	v := View{Counted: counts}
-	for _, s := range sightings {
+	for _, s := range answers {
 		if s.err != nil || !s.report.Open || s.report.Group == "" {
 			continue
 		}
@@ -110,9 +110,9 @@
 	return v, len(v.Reports) > 0
 }
 
-// sight asks one rank through its agent, or itself if the agent does not answer.
-func (g *Group) sight(ctx context.Context, address string, counts bool) sighting {
-	s := sighting{address: address, agent: true}
+// askRank asks one rank through its agent, or itself if the agent does not answer.
+func (g *Group) askRank(ctx context.Context, address string, counts bool) rankAnswer {
+	s := rankAnswer{address: address, agent: true}
 	if s.report, s.err = g.agents.Report(ctx, g.agentOf(address)); s.err != nil {
 		s.agent = false
 		s.report, s.err = g.ranks.Report(ctx, address)
--- a/internal/expert/elmgroup/view.go
+++ b/internal/expert/elmgroup/view.go
@@ -22,7 +22,7 @@
 
 // add takes a rank into the view, unless it belongs to another epoch or has
 // another map.
-func (v *View) add(s sighting) bool {
+func (v *View) add(s rankAnswer) bool {
 	if v.Reports == nil {
 		n := s.report.Size
 		v.Epoch, v.Version = s.report.Epoch, s.report.Map
--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -55,23 +55,23 @@
 	store    *platform.Store
 	belief   func() elmbelief.Belief
 	logger   *elmlog.Logger
-	groups   map[string]*post
+	groups   map[string]*groupState
 }
 
-// post is what a planner keeps for one service.
-type post struct {
-	seat   *seat
-	group  *elmgroup.Group
-	demand *demand
-	rounds int
-	slow   string
+// groupState is what a planner keeps for one service.
+type groupState struct {
+	leadership *leadership
+	group      *elmgroup.Group
+	demand     *demand
+	rounds     int
+	slow       string
 	// next is the time of the next look.
 	next time.Duration
 }
 
 // New returns a planner that is not running yet.
 func New(settings platform.Settings, store *platform.Store, belief func() elmbelief.Belief, logger *elmlog.Logger) *Planner {
-	return &Planner{settings: settings, store: store, belief: belief, logger: logger, groups: map[string]*post{}}
+	return &Planner{settings: settings, store: store, belief: belief, logger: logger, groups: map[string]*groupState{}}
 }
 
 // Run plans until the context ends.
@@ -82,7 +82,7 @@
 		select {
 		case <-ctx.Done():
 			for _, g := range p.groups {
-				g.seat.leave()
+				g.leadership.leave()
 			}
 			return
 		case <-ticker.C:
@@ -99,13 +99,13 @@
 func (p *Planner) tend(ctx context.Context, s elmcatalog.Service) {
 	g, ok := p.groups[s.Name]
 	if !ok {
-		g = &post{
-			seat:  newSeat(p.store, p.settings, p.belief, s.Name, p.logger),
-			group: elmgroup.New(p.settings.Instance, p.settings.Ports[0], p.logger), demand: &demand{},
+		g = &groupState{
+			leadership: newLeadership(p.store, p.settings, p.belief, s.Name, p.logger),
+			group:      elmgroup.New(p.settings.Instance, p.settings.Ports[0], p.logger), demand: &demand{},
 		}
 		p.groups[s.Name] = g
 	}
-	if !g.seat.hold(ctx) {
+	if !g.leadership.hold(ctx) {
 		g.demand, g.slow = &demand{}, ""
 		return
 	}
@@ -121,7 +121,7 @@
 
 // round looks at all ranks and changes their map if that is worthwhile. It returns
 // false while the group is not open or still has the map with which it opened.
-func (p *Planner) round(ctx context.Context, s elmcatalog.Service, g *post) bool {
+func (p *Planner) round(ctx context.Context, s elmcatalog.Service, g *groupState) bool {
 	g.rounds++
 	members := addresses(p.belief().Ranks(s.Name))
 	view, ok := g.group.Look(ctx, members, g.rounds%max(len(members)/countShare, 1) == 0)
@@ -163,7 +163,7 @@
 
 // publish tells the entries which ranks are slow, when that changes. The key
 // ends with the planner's lease.
-func (p *Planner) publish(ctx context.Context, service string, g *post, v elmgroup.View, paces []float64) {
+func (p *Planner) publish(ctx context.Context, service string, g *groupState, v elmgroup.View, paces []float64) {
 	list := elmslow.List{}
 	for r, pace := range paces {
 		if pace >= slowPace {
@@ -175,7 +175,7 @@
 		return
 	}
 	key := platform.OwnPrefix + elmslow.Key + service
-	if _, err := p.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(value), Lease: g.seat.lease}}); err != nil {
+	if _, err := p.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(value), Lease: g.leadership.lease}}); err != nil {
 		p.logger.Event(elmlog.StoreDown, "call", "publish slow ranks", "error", err)
 		return
 	}
--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/expert/elmpilot"
 	"github.com/elmcove/elmcove/internal/expert/elmplanner"
+	"github.com/elmcove/elmcove/internal/expert/elmrankagent"
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
@@ -100,12 +100,12 @@
 		"service": "draft", "address": listener.Addr().String(), "zone": "home", "slots": 12, "state": "ready", "coldLeftMs": 0,
 	})
 	w.store.Put(fmt.Sprintf("servers/r%d", r), entry)
-	pilot := elmpilot.New(platform.Settings{
+	agent := elmrankagent.New(platform.Settings{
 		Instance: fmt.Sprintf("agent-%d", r), Datacentre: "home", IP: ip, Ports: []int{port},
 		Beside: listener.Addr().String(), Service: "draft", Store: store, Lease: time.Second,
 	}, elmlog.NewJSON(fmt.Sprintf("agent-%d", r), w.logs))
 	done := make(chan error, 1)
-	go func() { done <- pilot.Run(t.Context()) }()
+	go func() { done <- agent.Run(t.Context()) }()
 	t.Cleanup(func() {
 		if err := <-done; err != nil {
 			t.Error(err)
--- a/internal/expert/elmpilot/elmpilot.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -1,12 +1,12 @@
-// Package elmpilot runs the agent process on the users' platform. It stands
+// Package elmrankagent runs the agent process on the users' platform. It stands
 // beside a rank of a lock-step group, passes planners' questions and orders on to
 // it, and watches it: a group that a planner has left held is released.
 //
 // # Usage
 //
-//	pilot := elmpilot.New(settings, logger)
-//	err := pilot.Run(ctx)
-package elmpilot
+//	agent := elmrankagent.New(settings, logger)
+//	err := agent.Run(ctx)
+package elmrankagent
 
 import (
 	"context"
@@ -25,8 +25,8 @@
 	"github.com/elmcove/elmcove/platform"
 )
 
-// ErrPilot reports that the agent can't run.
-var ErrPilot = errors.New("pilot")
+// ErrAgent reports that the agent can't run.
+var ErrAgent = errors.New("rank agent")
 
 const (
 	// callTimeout bounds a call to the own rank.
@@ -42,8 +42,8 @@
 	stallSpread   = 60 * time.Millisecond
 )
 
-// Pilot is the agent process beside a rank.
-type Pilot struct {
+// Agent is the agent process beside a rank.
+type Agent struct {
 	settings platform.Settings
 	logger   *elmlog.Logger
 	meter    *elmmeter.Meter
@@ -54,8 +54,8 @@
 }
 
 // New returns an agent that is not running yet.
-func New(settings platform.Settings, logger *elmlog.Logger) *Pilot {
-	return &Pilot{
+func New(settings platform.Settings, logger *elmlog.Logger) *Agent {
+	return &Agent{
 		settings: settings, logger: logger, meter: elmmeter.New(),
 		store: platform.NewStore(settings.Store), ranks: platform.NewRanks(callTimeout),
 		group: elmgroup.New(settings.Instance, settings.Ports[0], logger),
@@ -63,31 +63,31 @@
 }
 
 // Run serves until the context ends.
-func (p *Pilot) Run(ctx context.Context) error {
-	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.Ports[0]))
+func (a *Agent) Run(ctx context.Context) error {
+	address := net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.Ports[0]))
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrPilot, err)
+		return fmt.Errorf("%w: %w", ErrAgent, err)
 	}
-	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: serverTimeout, ErrorLog: p.logger.Standard()}
+	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: serverTimeout, ErrorLog: a.logger.Standard()}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
-	p.logger.Event(elmlog.Started, "beside", p.settings.Beside, "service", p.settings.Service)
-	go p.watch(ctx)
+	a.logger.Event(elmlog.Started, "beside", a.settings.Beside, "service", a.settings.Service)
+	go a.watch(ctx)
 	select {
 	case err = <-failed:
-		return fmt.Errorf("%w: %w", ErrPilot, err)
+		return fmt.Errorf("%w: %w", ErrAgent, err)
 	case <-ctx.Done():
 	}
-	p.logger.Event(elmlog.Stopping)
+	a.logger.Event(elmlog.Stopping)
 	_ = server.Close() // Callers ask the rank itself.
-	p.logger.Event(elmlog.Stopped)
+	a.logger.Event(elmlog.Stopped)
 	return nil
 }
 
 // watch looks at the own rank, which costs nothing. If the group makes no passes
 // though there is work, a planner may have held it and died.
-func (p *Pilot) watch(ctx context.Context) {
+func (a *Agent) watch(ctx context.Context) {
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
 	for {
@@ -96,64 +96,64 @@
 			return
 		case <-ticker.C:
 		}
-		report, err := p.ranks.Report(ctx, p.settings.Beside)
+		report, err := a.ranks.Report(ctx, a.settings.Beside)
 		if err != nil {
-			p.meter.Count("elmcove_report_failures_total", "rank", "own")
+			a.meter.Count("elmcove_report_failures_total", "rank", "own")
 			continue
 		}
 		now := elmclock.Now()
 		patience := stallPatience + time.Duration(report.Rank)*stallSpread
-		if p.stall.see(report, now) && now-p.stall.since >= patience && now-p.stall.tried >= patience {
-			p.stall.tried = now
-			p.release(ctx, report, now-p.stall.since)
+		if a.stall.see(report, now) && now-a.stall.since >= patience && now-a.stall.tried >= patience {
+			a.stall.tried = now
+			a.release(ctx, report, now-a.stall.since)
 		}
 	}
 }
 
 // release looks at the whole group and releases it if it is held.
-func (p *Pilot) release(ctx context.Context, own elmrank.Report, since time.Duration) {
-	members, err := p.members(ctx)
+func (a *Agent) release(ctx context.Context, own elmrank.Report, since time.Duration) {
+	members, err := a.members(ctx)
 	if err != nil {
-		p.logger.Event(elmlog.StoreDown, "call", "list ranks", "error", err)
+		a.logger.Event(elmlog.StoreDown, "call", "list ranks", "error", err)
 		return
 	}
-	view, ok := p.group.Look(ctx, members, false)
+	view, ok := a.group.Look(ctx, members, false)
 	held := view.Held()
-	p.logger.Event(elmlog.GroupStalled, "epoch", own.Epoch, "step", own.Step, "since", since, "complete", ok, "held", held)
+	a.logger.Event(elmlog.GroupStalled, "epoch", own.Epoch, "step", own.Step, "since", since, "complete", ok, "held", held)
 	if !ok || len(held) == 0 {
 		return
 	}
-	page, err := p.store.RangeStale(ctx, platform.ConfigKey, "")
+	page, err := a.store.RangeStale(ctx, platform.ConfigKey, "")
 	if err != nil || len(page.Items) == 0 {
-		p.logger.Event(elmlog.StoreDown, "call", "read configuration", "error", err)
+		a.logger.Event(elmlog.StoreDown, "call", "read configuration", "error", err)
 		return
 	}
 	catalog, err := platform.DecodeCatalog(page.Items[0].Value)
 	if err != nil {
-		p.logger.Event(elmlog.ConfigRefused, "error", err)
+		a.logger.Event(elmlog.ConfigRefused, "error", err)
 		return
 	}
-	service, known := catalog.Service(p.settings.Service)
+	service, known := catalog.Service(a.settings.Service)
 	if !known || service.Engine == nil {
 		return
 	}
-	if current, known := p.group.Map(ctx, view, *service.Engine); known {
-		p.group.Heal(ctx, view, current, held)
+	if current, known := a.group.Map(ctx, view, *service.Engine); known {
+		a.group.Heal(ctx, view, current, held)
 	}
 }
 
 // members returns the addresses of the group's ranks, from an answer of the store
 // that may be seconds old.
-func (p *Pilot) members(ctx context.Context) ([]string, error) {
+func (a *Agent) members(ctx context.Context) ([]string, error) {
 	var found []string
 	for after, more := "", true; more; {
-		page, err := p.store.RangeStale(ctx, platform.EndpointPrefix, after)
+		page, err := a.store.RangeStale(ctx, platform.EndpointPrefix, after)
 		if err != nil {
 			return nil, err
 		}
 		for _, i := range page.Items {
 			_, id := platform.ClassifyKey(i.Key)
-			if e, err := platform.DecodeEndpoint(id, i.Value); err == nil && e.Service == p.settings.Service {
+			if e, err := platform.DecodeEndpoint(id, i.Value); err == nil && e.Service == a.settings.Service {
 				found = append(found, e.Address)
 			}
 			after = i.Key
--- a/internal/expert/elmpilot/handler.go
+++ b/internal/expert/elmrankagent/handler.go
@@ -1,4 +1,4 @@
-package elmpilot
+package elmrankagent
 
 import (
 	"compress/gzip"
@@ -18,16 +18,16 @@
 
 // handler passes questions and orders on to the rank, which answers its own
 // machine without cost and without delay.
-func (p *Pilot) handler() http.Handler {
+func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+platform.ReportPath, http.HandlerFunc(p.pass))
-	mux.Handle("GET "+platform.PickedPath, http.HandlerFunc(p.pass))
-	mux.Handle("POST "+platform.OrderPath, http.HandlerFunc(p.pass))
-	mux.Handle("/metrics", p.meter.Handler())
+	mux.Handle("GET "+platform.ReportPath, http.HandlerFunc(a.pass))
+	mux.Handle("GET "+platform.PickedPath, http.HandlerFunc(a.pass))
+	mux.Handle("POST "+platform.OrderPath, http.HandlerFunc(a.pass))
+	mux.Handle("/metrics", a.meter.Handler())
 	return mux
 }
 
-func (p *Pilot) pass(w http.ResponseWriter, r *http.Request) {
+func (a *Agent) pass(w http.ResponseWriter, r *http.Request) {
 	var body io.Reader = http.MaxBytesReader(w, r.Body, orderBytes)
 	if r.Header.Get("Content-Encoding") == "gzip" {
 		unpacked, err := gzip.NewReader(body)
@@ -37,7 +37,7 @@
 		}
 		body = io.LimitReader(unpacked, orderBytes)
 	}
-	status, document, err := p.ranks.Pass(r.Context(), r.Method, p.settings.Beside, r.URL.RequestURI(), body)
+	status, document, err := a.ranks.Pass(r.Context(), r.Method, a.settings.Beside, r.URL.RequestURI(), body)
 	if err != nil {
 		http.Error(w, "rank does not answer", http.StatusGatewayTimeout)
 		return
--- a/internal/expert/elmpilot/stall.go
+++ b/internal/expert/elmrankagent/stall.go
@@ -1,4 +1,4 @@
-package elmpilot
+package elmrankagent
 
 import (
 	"time"
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -17,60 +17,60 @@
 var errCaller = errors.New("caller has gone")
 
 // relay passes an answer on and returns how it ended.
-func (v *voyage) relay(c elmflight.Relay) elmflight.Message {
-	events := v.route.Kind == elmcatalog.Stream && strings.HasPrefix(v.answer.Header.Get("Content-Type"), "text/event-stream")
+func (d *delivery) relay(c elmflight.Relay) elmflight.Message {
+	events := d.route.Kind == elmcatalog.Stream && strings.HasPrefix(d.answer.Header.Get("Content-Type"), "text/event-stream")
 	if c.Resumed {
-		v.splitter.Restart()
+		d.splitter.Restart()
 	} else {
-		v.begin(events)
+		d.begin(events)
 	}
-	err := v.copyBody(events)
+	err := d.copyBody(events)
 	switch {
 	case err == nil:
 		return elmflight.Ended{}
 	case errors.Is(err, errCaller):
 		return elmflight.Left{}
 	}
-	v.cause = err
-	if m := v.ended(true); m != nil {
+	d.cause = err
+	if m := d.ended(true); m != nil {
 		return m
 	}
-	v.release(elmplace.Failed)
-	resumable := events && v.route.Resumable
-	spent := !resumable || len(v.flight.Tried()) >= v.route.Attempts || v.groupBroken() || !v.repeat()
+	d.release(elmplace.Failed)
+	resumable := events && d.route.Resumable
+	spent := !resumable || len(d.flight.Tried()) >= d.route.Attempts || d.groupBroken() || !d.repeat()
 	return elmflight.Cut{Resumable: resumable, Spent: spent}
 }
 
 // begin sends the head of the answer.
-func (v *voyage) begin(events bool) {
-	header := v.writer.Header()
-	for name, values := range platform.AnswerHeaders(v.answer.Header) {
+func (d *delivery) begin(events bool) {
+	header := d.writer.Header()
+	for name, values := range platform.AnswerHeaders(d.answer.Header) {
 		header[name] = values
 	}
 	if events {
 		header.Del("Content-Length") // A resumed stream may differ in length.
 	}
-	v.writer.WriteHeader(v.answer.Status)
+	d.writer.WriteHeader(d.answer.Status)
 	if !events {
-		v.first = elmclock.Now()
+		d.first = elmclock.Now()
 	}
 }
 
 // copyBody passes the body on: streams by whole events as they come, others as
 // they are.
-func (v *voyage) copyBody(events bool) error {
+func (d *delivery) copyBody(events bool) error {
 	buffer := make([]byte, copyBuffer)
 	for {
-		n, err := v.answer.Read(buffer)
+		n, err := d.answer.Read(buffer)
 		part := buffer[:n]
 		ended := errors.Is(err, io.EOF)
 		if events {
-			part = v.splitter.Feed(part)
+			part = d.splitter.Feed(part)
 			if ended {
-				part = append(part, v.splitter.Rest()...)
+				part = append(part, d.splitter.Rest()...)
 			}
 		}
-		if writeErr := v.write(part, events); writeErr != nil {
+		if writeErr := d.write(part, events); writeErr != nil {
 			return writeErr
 		}
 		if ended {
@@ -83,20 +83,20 @@
 }
 
 // write passes a part of the body to the caller, events at once.
-func (v *voyage) write(part []byte, events bool) error {
+func (d *delivery) write(part []byte, events bool) error {
 	if len(part) == 0 {
 		return nil
 	}
-	if _, err := v.writer.Write(part); err != nil {
+	if _, err := d.writer.Write(part); err != nil {
 		return errCaller
 	}
 	if !events {
 		return nil
 	}
-	if v.first == 0 {
-		v.first = elmclock.Now()
+	if d.first == 0 {
+		d.first = elmclock.Now()
 	}
-	if err := http.NewResponseController(v.writer).Flush(); err != nil {
+	if err := http.NewResponseController(d.writer).Flush(); err != nil {
 		return errCaller
 	}
 	return nil
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -75,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(request.Context(), a.allowed-(elmclock.Now()-began), errExpired)
 	defer cancel()
-	r.fly(ctx, w, request, a)
+	r.deliver(ctx, w, request, a)
 }
 
 // admit checks a request against the configuration and reads its body.
