--- a/cmd/elmsoak/main.go
+++ b/cmd/elmsoak/main.go
@@ -10,7 +10,7 @@
 	"path/filepath"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/stand/elmsoak"
+	"github.com/elmcove/elmcove/platform/stand/elmsoak"
 )
 
 func main() {
