Give each router under test a loopback address of its own

Ruled out: the router itself (it never started), slowness. Each world now has an address from which no connection starts.

--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,9 +77,20 @@
 	return document
 }
 
-func address(t *testing.T) string {
+// worlds counts the worlds of this process.
+var worlds atomic.Uint32
+
+// loopback returns an address that only one world uses. Connections start from
+// 127.0.0.1, so that none takes a port of it.
+func loopback() string {
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+process/250%100, 1+process%250, 1+worlds.Add(1)%250)
+}
+
+// address returns an address of a world whose port is free.
+func address(t *testing.T, ip string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,12 +108,13 @@
 		w.add(fmt.Sprintf("e%d", i))
 	}
 	w.store.Put("op/config", configuration(1, credential))
-	_, port, _ := net.SplitHostPort(address(t))
+	ip := loopback()
+	_, port, _ := net.SplitHostPort(address(t, ip))
 	number := 0
 	_, _ = fmt.Sscan(port, &number)
 	w.settings = platform.Settings{
-		Instance: "entry-1", Datacentre: "home", IP: "127.0.0.1", Ports: []int{number},
-		Callers: address(t), Readiness: address(t), Store: strings.TrimPrefix(storeServer.URL, "http://"),
+		Instance: "entry-1", Datacentre: "home", IP: ip, Ports: []int{number},
+		Callers: address(t, ip), Readiness: address(t, ip), Store: strings.TrimPrefix(storeServer.URL, "http://"),
 		Bounds: platform.Bounds{
 			Revoke: 5 * time.Second, Grace: 3 * time.Second, Leave: 2 * time.Second, Withdraw: 5 * time.Second,
 			RepeatShare: 0.2, RepeatBurst: 90, RepeatWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
