Drop two things that nothing calls

Found in a second reading of the whole change: Endpoint.Incarnation, since the belief compares Born itself, and Shift.Waiting, which only a removed debug line read. No behaviour is changed.

--- a/internal/expert/elmshift/elmshift.go
+++ b/internal/expert/elmshift/elmshift.go
@@ -144,17 +144,6 @@
 // Step returns the pass before which the own rank holds the group, or 0.
 func (s Shift) Step() int64 { return s.step }
 
-// Waiting returns the ranks that are not yet where the phase wants them.
-func (s Shift) Waiting() []int {
-	var list []int
-	for r := range s.members {
-		if !s.members[r].done {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
 // Update applies a message.
 func (s Shift) Update(m Message) (Shift, []Command) {
 	if s.Done() {
--- a/internal/forward/elmendpoint/elmendpoint.go
+++ b/internal/forward/elmendpoint/elmendpoint.go
@@ -24,12 +24,3 @@
 	// Born is the Unix time in milliseconds at which the incarnation began.
 	Born int64
 }
-
-// Incarnation identifies one start of the endpoint.
-type Incarnation struct {
-	ID   string
-	Born int64
-}
-
-// Incarnation returns the identity of this start of the endpoint.
-func (e Endpoint) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
