Serve what can be on time before what is late

An engine's queue of half its slots is more than a second of waiting, so all requests missed their objective of 400 ms, and those that came back after a refusal stood before new ones.

Now a request that can be on time is placed up to 0.15 of the slots beyond them (about 0.2 s), and is refused at once otherwise. One whose objective has passed may wait for 0.6 of them, with a later place in the engine's queue, and does not count for the others; entries tell each other both figures. The place is worked out from the route's urgency first.

--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -41,7 +41,10 @@
 	slowCost = 4.0
 	// engineQueue is the part of an engine's slots that may wait for one: what
 	// waits longer would miss its objective.
-	engineQueue = 0.5
+	engineQueue = 0.15
+	// lateQueue is the same for requests whose objective has passed. Endpoints
+	// admit them after all others.
+	lateQueue = 0.6
 	// plainQueue is the number of requests that a plain service may have for
 	// each of its slots.
 	plainQueue = 3.0
@@ -110,6 +113,8 @@
 	Service elmcatalog.Service
 	// Tried lists the endpoints that it was sent to before.
 	Tried []string
+	// Late means that the request's objective has passed.
+	Late bool
 }
 
 // Placer places requests. It is not safe for concurrent use.
@@ -124,9 +129,17 @@
 	slow      elmslow.List
 }
 
+// Load is the number of requests at an endpoint.
+type Load struct {
+	Open int
+	// Behind counts those among them that are late and wait there: the endpoint
+	// admits all others before them.
+	Behind int
+}
+
 type endpoint struct {
 	key     uint32
-	open    int
+	load    Load
 	failure float64
 	failed  time.Duration
 	latency float64
@@ -135,7 +148,7 @@
 
 type peer struct {
 	at    time.Duration
-	loads map[uint32]int
+	loads map[uint32]Load
 }
 
 type service struct {
@@ -165,21 +178,20 @@
 // Key shortens the identity of an endpoint for the messages between entries.
 func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// SetPeer takes the number of requests that another entry has at each endpoint,
-// by Key.
-func (p *Placer) SetPeer(name string, loads map[uint32]int, now time.Duration) {
+// SetPeer takes the requests that another entry has at each endpoint, by Key.
+func (p *Placer) SetPeer(name string, loads map[uint32]Load, now time.Duration) {
 	p.peers[name] = peer{at: now, loads: loads}
 }
 
 // SetSlow tells which ranks are slow. All ranks of a group wait for them.
 func (p *Placer) SetSlow(list elmslow.List) { p.slow = list }
 
-// Loads returns the number of this entry's requests at each endpoint, by Key.
-func (p *Placer) Loads() map[uint32]int {
-	loads := map[uint32]int{}
+// Loads returns this entry's requests at each endpoint, by Key.
+func (p *Placer) Loads() map[uint32]Load {
+	loads := map[uint32]Load{}
 	for _, e := range p.endpoints {
-		if e.open > 0 {
-			loads[e.key] = e.open
+		if e.load.Open > 0 {
+			loads[e.key] = e.load
 		}
 	}
 	return loads
@@ -200,8 +212,8 @@
 		if verdict == Absent {
 			verdict = Full
 		}
-		load := p.load(m.ID, now)
-		if load >= p.limit(q.Service, m) || !p.bearsCold(q.Service, m, now) {
+		load := p.load(q, m.ID, now)
+		if load >= p.limit(q, m) || !p.bearsCold(q.Service, m, now) {
 			continue
 		}
 		cost := p.cost(q.Service, m, load, now)
@@ -241,21 +253,28 @@
 }
 
 // load returns the requests that all entries have at an endpoint, as far as
-// this one knows.
-func (p *Placer) load(id string, now time.Duration) float64 {
+// this one knows. Those that a request goes before do not count for it.
+func (p *Placer) load(q Query, id string, now time.Duration) float64 {
 	e := p.endpoint(id)
-	load := e.open
+	load := e.load
 	for _, other := range p.peers {
 		if now-other.at < peerLife {
-			load += other.loads[e.key]
+			load.Open += other.loads[e.key].Open
+			load.Behind += other.loads[e.key].Behind
 		}
 	}
-	return float64(load)
+	if q.Late {
+		return float64(load.Open)
+	}
+	return float64(load.Open - load.Behind)
 }
 
-func (p *Placer) limit(s elmcatalog.Service, m elmbelief.Member) float64 {
-	if s.Engine == nil {
+func (p *Placer) limit(q Query, m elmbelief.Member) float64 {
+	switch {
+	case q.Service.Engine == nil:
 		return plainQueue * float64(m.Slots)
+	case q.Late:
+		return float64(m.Slots) * (1 + lateQueue)
 	}
 	return float64(m.Slots) * (1 + engineQueue)
 }
@@ -280,17 +299,23 @@
 }
 
 // Begin counts a request that is sent to an endpoint.
-func (p *Placer) Begin(id string, now time.Duration) {
+func (p *Placer) Begin(id string, late bool, now time.Duration) {
 	e := p.endpoint(id)
-	e.open++
+	e.load.Open++
+	if late {
+		e.load.Behind++
+	}
 	e.cold.Add(now)
 }
 
+// Admit counts a late request that no longer waits at its endpoint.
+func (p *Placer) Admit(id string) { p.endpoint(id).load.Behind-- }
+
 // End counts a request that has left an endpoint. Elapsed is the time to the
 // head of its answer.
 func (p *Placer) End(id string, outcome Outcome, elapsed, now time.Duration) {
 	e := p.endpoint(id)
-	e.open--
+	e.load.Open--
 	switch outcome {
 	case Served:
 		e.latency += latencyWeight * (elapsed.Seconds() - e.latency)
@@ -306,7 +331,7 @@
 // requests.
 func (p *Placer) Forget(listed func(id string) bool) {
 	for id, e := range p.endpoints {
-		if e.open == 0 && !listed(id) {
+		if e.load.Open == 0 && !listed(id) {
 			delete(p.endpoints, id)
 		}
 	}
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -32,6 +32,8 @@
 	// returnShare is the part of the usual time below which a caller is taken
 	// for a returning one.
 	returnShare = 0.9
+	// lastOrder is the last place in an endpoint's queue.
+	lastOrder = 9
 	// lookAgain is the time between two looks for a place.
 	lookAgain = 40 * time.Millisecond
 	// copyBuffer is the size of the parts in which answers are passed on.
@@ -52,9 +54,12 @@
 	admitted
 	flight elmflight.Flight
 
+	// late means that the caller was here before, so that its objective has passed.
+	late     bool
 	member   elmbelief.Member
 	verdict  elmplace.Verdict
 	open     bool
+	behind   bool
 	sentAt   time.Duration
 	first    time.Duration
 	answer   *elmexchange.Answer
@@ -68,6 +73,7 @@
 		router: r, ctx: ctx, writer: w, request: request, admitted: a,
 		flight: elmflight.New(a.route.Repeats(), a.route.Attempts),
 	}
+	d.late = d.returned()
 	r.mutex.Lock()
 	r.placer.Count(a.service.Name, a.began)
 	r.mutex.Unlock()
@@ -128,7 +134,7 @@
 // place that becomes free.
 func (d *delivery) place(c elmflight.Place) elmflight.Message {
 	until := elmclock.Now()
-	if d.returned() {
+	if d.late {
 		until += min(returnPatience, d.left()-returnMargin)
 	}
 	for {
@@ -140,6 +146,16 @@
 	}
 }
 
+// order returns the place of the request in an endpoint's queue: by urgency, and
+// among equals those first that can still meet their objective.
+func (d *delivery) order() int {
+	order := min(2*max(d.route.Priority, 0), lastOrder-1)
+	if d.late {
+		order++
+	}
+	return order
+}
+
 // returned reports whether the caller was here before: it has less time left
 // than others have on the route, or names an event of a broken stream.
 func (d *delivery) returned() bool {
@@ -161,7 +177,7 @@
 	members := belief.Members(d.service.Name, now)
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
-	query := elmplace.Query{Service: d.service, Tried: c.Tried}
+	query := elmplace.Query{Service: d.service, Tried: c.Tried, Late: d.late}
 	d.member, d.verdict = d.router.placer.Pick(query, members, now)
 	if d.verdict == elmplace.Absent {
 		d.member, d.verdict = d.router.placer.Pick(query, belief.LastResort(d.service.Name, now), now)
@@ -169,11 +185,22 @@
 	if d.verdict != elmplace.Placed {
 		return elmflight.Unplaced{}
 	}
-	d.router.placer.Begin(d.member.ID, now)
-	d.open, d.sentAt = true, now
+	d.router.placer.Begin(d.member.ID, d.late, now)
+	d.open, d.behind, d.sentAt = true, d.late, now
 	return elmflight.Placed{Endpoint: d.member.ID}
 }
 
+// begun notes that the endpoint has begun with the request.
+func (d *delivery) begun() {
+	if !d.behind {
+		return
+	}
+	d.behind = false
+	d.router.mutex.Lock()
+	defer d.router.mutex.Unlock()
+	d.router.placer.Admit(d.member.ID)
+}
+
 // release gives the endpoint's place back.
 func (d *delivery) release(outcome elmplace.Outcome) {
 	if d.answer != nil {
@@ -183,6 +210,7 @@
 	if !d.open {
 		return
 	}
+	d.begun()
 	d.open = false
 	now := elmclock.Now()
 	elapsed := now - d.sentAt
@@ -202,7 +230,7 @@
 }
 
 func (d *delivery) send(c elmflight.Send) elmflight.Message {
-	handover := platform.Handover{Endpoint: d.member.ID, Workspace: d.workspace, Left: d.left()}
+	handover := platform.Handover{Endpoint: d.member.ID, Workspace: d.workspace, Left: d.left(), Order: d.order()}
 	if c.Resume {
 		handover.Event = d.splitter.Last()
 		d.log(elmlog.RequestResumed)
@@ -215,6 +243,7 @@
 		return d.unanswered(err)
 	}
 	d.answer = answer
+	d.begun()
 	return d.judge()
 }
 
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -308,3 +308,17 @@
 		t.Errorf("the returning caller got %+v", got)
 	}
 }
+
+// TestOrderAtTheEndpoint: requests of returning callers, whose objective has
+// passed, go to the endpoint behind those that can be on time.
+func TestOrderAtTheEndpoint(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, nil)
+	for _, deadline := range []string{"1500", "900"} {
+		w.ask(t.Context(), "POST", "/once/a", "", map[string]string{"Deadline-Ms": deadline, "Request-Priority": "0"})
+	}
+	runs := w.runs()
+	if fresh, late := runs[0].Header.Get("Request-Priority"), runs[1].Header.Get("Request-Priority"); fresh != "0" || late != "1" {
+		t.Errorf("places %q and %q in the endpoint's queue, want 0 and 1", fresh, late)
+	}
+}
