Change a map with the next pass when passes are long

Cause: a change came into force three passes after the last known one.

Now the number follows from the time that passes take: as many as fit into 0.2 s, one to three. The hold keeps the change safe however late its orders are.

--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -24,6 +24,7 @@
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
 	"github.com/elmcove/elmcove/internal/expert/elmshift"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
+	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
 )
@@ -42,9 +43,12 @@
 	changeTimeout = 3 * time.Second
 	// pauseRest is the pause before a rank is asked again.
 	pauseRest = 30 * time.Millisecond
-	// lead is the number of passes from the last known one to a change. Ranks
-	// are armed meanwhile, so that the group does not wait.
-	lead = 3
+	// leadTime is how long before a change its orders are sent. Ranks are armed
+	// meanwhile, so that the group does not wait.
+	leadTime = 200 * time.Millisecond
+	// mostLead and leastLead bound the passes from the last known one to a
+	// change: the next pass is the first that may not have begun.
+	mostLead, leastLead = 3, 1
 )
 
 // Group speaks with the ranks of a group. It is not safe for concurrent use.
@@ -63,6 +67,7 @@
 	epoch   int64
 	step    int64
 	turn    int
+	passes  passes
 }
 
 // New returns the view of a process by name. Agents listen at port of the
@@ -107,6 +112,7 @@
 			return v, false
 		}
 	}
+	g.passes = g.passes.seen(v, elmclock.Now())
 	return v, len(v.Reports) > 0
 }
 
@@ -206,7 +212,7 @@
 	}
 	return elmshift.Plan{
 		Version: elmshift.Next(max(v.Highest, g.version), g.planner), Epoch: v.Epoch, Current: current, Next: next,
-		Own: g.turn % len(v.Reports), Planner: g.planner, Lead: lead, After: after,
+		Own: g.turn % len(v.Reports), Planner: g.planner, Lead: g.passes.lead(), After: after,
 	}
 }
 
