Move streams away from a slow rank

Cause: streams that run at a rank when it turns slow go on there for 28 events, and all ranks wait for each of their passes.

Now the entry looks at each event whether the rank is known to be slow, takes a place at another and a repeat from the budget, and lets the stream go on there with the last event, where the route allows that. Nothing is given up before a place is taken.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -55,11 +55,13 @@
 	flight elmflight.Flight
 
 	// late means that the caller was here before, so that its objective has passed.
-	late     bool
-	member   elmbelief.Member
-	verdict  elmplace.Verdict
-	open     bool
-	behind   bool
+	late    bool
+	member  elmbelief.Member
+	verdict elmplace.Verdict
+	open    bool
+	behind  bool
+	// reserved means that a place was taken before the flight asked for it.
+	reserved bool
 	sentAt   time.Duration
 	first    time.Duration
 	answer   *elmexchange.Answer
@@ -172,6 +174,10 @@
 	if d.left() < minimalTime {
 		return elmflight.Expired{}
 	}
+	if d.reserved {
+		d.reserved = false
+		return elmflight.Placed{Endpoint: d.member.ID}
+	}
 	now := elmclock.Now()
 	belief := d.router.follower.Belief()
 	members := belief.Members(d.service.Name, now)
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -322,3 +322,39 @@
 		t.Errorf("places %q and %q in the endpoint's queue, want 0 and 1", fresh, late)
 	}
 }
+
+// TestStreamLeavesSlowRank: a stream goes on elsewhere when its rank turns slow,
+// if it may be resumed.
+func TestStreamLeavesSlowRank(t *testing.T) {
+	for name, c := range map[string]struct {
+		target string
+		runs   int
+	}{
+		"may be resumed":  {"/stream/a?stream=1&pause=300", 2},
+		"not to be rerun": {"/single/a?stream=1&pause=300", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 2, nil)
+			go func() {
+				w.eventually("sent", func() bool { return len(w.runs()) > 0 })
+				w.store.Put("elmcove/slow/desk", []byte(w.addresses[w.runs()[0].Endpoint]+"=6"))
+			}()
+			got := w.ask(t.Context(), "POST", c.target, "", map[string]string{"Deadline-Ms": "5000"})
+			if got.err != nil || got.body != wholeStream {
+				t.Errorf("error %v, body %q; log:\n%s", got.err, got.body, w.log)
+			}
+			runs := w.runs()
+			if len(runs) != c.runs {
+				t.Fatalf("%d runs, want %d; log:\n%s", len(runs), c.runs, w.log)
+			}
+			if c.runs == 1 {
+				return
+			}
+			first, second := runs[0].Header.Get("Last-Event-Id"), runs[1].Header.Get("Last-Event-Id")
+			if runs[0].Endpoint == runs[1].Endpoint || (first == "") == (second == "") {
+				t.Errorf("one run must go on with the other's events: %+v", runs)
+			}
+		})
+	}
+}
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/elmcove/elmcove/internal/forward/elmbelief"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 	"github.com/elmcove/elmcove/internal/forward/elmflight"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
@@ -13,6 +14,9 @@
 	"github.com/elmcove/elmcove/platform"
 )
 
+// errMoved reports that a stream goes on at another endpoint.
+var errMoved = errors.New("stream moves from a slow rank")
+
 // errCaller reports that the caller takes no more bytes.
 var errCaller = errors.New("caller has gone")
 
@@ -35,6 +39,9 @@
 	if m := d.ended(true); m != nil {
 		return m
 	}
+	if errors.Is(err, errMoved) {
+		return elmflight.Cut{Resumable: true}
+	}
 	d.release(elmplace.Failed)
 	resumable := events && d.route.Resumable
 	spent := !resumable || len(d.flight.Tried()) >= d.route.Attempts || d.groupBroken() || !d.repeat()
@@ -79,7 +86,40 @@
 		if err != nil {
 			return err
 		}
+		if events && d.move() {
+			return errMoved
+		}
+	}
+}
+
+// move gives a stream at a slow rank a place at another, if it may be resumed
+// there. All ranks of a group wait for the own part of the slow one, which it
+// has while it has requests.
+func (d *delivery) move() bool {
+	if !d.route.Resumable || d.splitter.Last() == "" || len(d.flight.Tried()) >= d.route.Attempts {
+		return false
+	}
+	now := elmclock.Now()
+	members := d.router.follower.Belief().Members(d.service.Name, now)
+	d.router.mutex.Lock()
+	placer := d.router.placer
+	member, found := elmbelief.Member{}, false
+	if placer.IsSlow(d.member) {
+		query := elmplace.Query{Service: d.service, Tried: d.flight.Tried()}
+		var verdict elmplace.Verdict
+		member, verdict = placer.Pick(query, members, now)
+		found = verdict == elmplace.Placed && !placer.IsSlow(member) && placer.Repeat(d.service.Name, now)
+	}
+	if found {
+		placer.Begin(member.ID, false, now)
+	}
+	d.router.mutex.Unlock()
+	if !found {
+		return false
 	}
+	d.release(elmplace.Ignored)
+	d.member, d.open, d.reserved, d.sentAt = member, true, true, now
+	return true
 }
 
 // write passes a part of the body to the caller, events at once.
