Begin a planner's counts with its first look, and fade them by time

Cause: a rank's counts reach back to its start. Besides, demand faded by looks: four times as fast while a group has just opened, when it is looked at every 125 ms.

Ruled out: that the plan itself is late; the first look after a takeover comes at once.

--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -132,7 +132,7 @@
 	if !ok {
 		return true
 	}
-	weights := g.demand.add(view, *s.Engine)
+	weights := g.demand.add(view, *s.Engine, elmclock.Now())
 	paces := view.Paces()
 	p.publish(ctx, s.Name, g, view, paces)
 	if weights == nil || len(view.Held()) > 0 {
