Let a planner that is silent be replaced after 1.5 s

Cause: a planner that freezes or is cut off left its group unplanned for 3 s and the spread of candidates, about as long as the demand of these sites stays the same.

A planner that only seemed silent does no harm: two at once keep one map (TestSchedules). No test of its own: the value is a constant.

--- a/internal/expert/elmplanner/leadership.go
+++ b/internal/expert/elmplanner/leadership.go
@@ -16,11 +16,11 @@
 	// plannerKey precedes the name of the service that an entry plans for.
 	plannerKey = "planner/"
 	// plannerLease is how long a planner stays after it was last heard of.
-	plannerLease = 3 * time.Second
+	plannerLease = 1500 * time.Millisecond
 	// keepEvery is the time between two renewals.
-	keepEvery = time.Second
+	keepEvery = 500 * time.Millisecond
 	// candidacySpread spreads the entries that would like to be planner.
-	candidacySpread = 600 * time.Millisecond
+	candidacySpread = 300 * time.Millisecond
 	// releaseTimeout bounds the giving back of the lease at the end.
 	releaseTimeout = 300 * time.Millisecond
 )
