Ask all ranks under the hold before one of them is armed

Now each rank is asked under the hold, through its agent, within 60 ms; if one is silent nothing is armed and the hold is released. What remains is a rank that freezes in the few milliseconds between that answer and its arm.

TestFrozenRank fails on the code before (the planner is still in arming after 200 turns).

--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -278,9 +278,15 @@
 // ask prefers the agent's answer, which is fresh.
 func (g *Group) ask(ctx context.Context, v View, c elmshift.Ask) elmshift.Message {
 	address := v.Addresses[c.Rank]
-	report, err := g.agents.Report(ctx, g.agentOf(address))
+	ranks, patience := g.ranks, agentTimeout
+	if c.Urgent {
+		ranks, patience = g.orders, orderTimeout
+	}
+	quick, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	report, err := g.agents.Report(quick, g.agentOf(address))
 	if err != nil {
-		report, err = g.ranks.Report(ctx, address)
+		report, err = ranks.Report(ctx, address)
 	}
 	return elmshift.Reported{State: c.State, Rank: c.Rank, Report: report, Failed: err != nil}
 }
--- a/internal/expert/elmshift/elmshift.go
+++ b/internal/expert/elmshift/elmshift.go
@@ -3,9 +3,14 @@
 // late, or carried out seconds later.
 //
 // A change prepares the map everywhere, holds the group before a pass that has
-// not begun, arms that pass on each rank, and releases the hold once all are
-// known to be armed. If one can't be armed, all are disarmed first. While the
-// hold stands the pass can't begin, so no pass mixes two maps.
+// not begun, looks whether all ranks answer, arms that pass on each rank, and
+// releases the hold once all are known to be armed. If one can't be armed, all are
+// disarmed first. While the hold stands the pass can't begin, so no pass mixes two
+// maps.
+//
+// A rank that freezes while the group is held can't be asked whether it is armed,
+// and the group would wait for it. So no rank is armed unless all have answered
+// under the hold; if one has not, the hold is released and nothing is undone.
 //
 // An order without an answer may still be carried out later. A rank arms only the
 // version that it has prepared last, and prepares only versions higher than all
@@ -40,6 +45,7 @@
 	preparing = "preparing"
 	claiming  = "claiming"
 	holding   = "holding"
+	looking   = "looking"
 	arming    = "arming"
 	undoing   = "undoing"
 	releasing = "releasing"
@@ -167,7 +173,7 @@
 		}
 		return s.advance()
 	case Expired:
-		if s.state == preparing || s.state == arming {
+		if s.state == preparing || s.state == looking || s.state == arming {
 			return s.enter("failed")
 		}
 	}
@@ -198,6 +204,9 @@
 func (s Shift) reported(m Reported) (Shift, []Command) {
 	r := &s.members[m.Rank]
 	r.call = idle
+	if m.Failed && s.state == looking {
+		return s.enter("failed")
+	}
 	if m.Failed {
 		r.call = pausing
 		return s, []Command{Wait{}}
@@ -211,6 +220,11 @@
 		return s.prepared(r)
 	case claiming, holding:
 		return s.holds(r)
+	case looking:
+		if r.seen.Prepared != s.plan.Version || r.seen.Armed != 0 {
+			return s.enter("failed")
+		}
+		r.done = true
 	case arming:
 		return s.armed(r)
 	case undoing:
@@ -292,6 +306,10 @@
 			s.step = max(s.step, s.members[r].seen.Step+s.plan.Lead, s.plan.After+1)
 		}
 		s.only(s.plan.Own)
+	case "look":
+		for r := range s.members {
+			s.members[r].asks = true
+		}
 	case "change":
 		s.changed = true
 		s.release()
@@ -344,7 +362,7 @@
 		}
 		if m.asks {
 			m.call = asking
-			commands = append(commands, Ask{State: s.state, Rank: r})
+			commands = append(commands, Ask{State: s.state, Rank: r, Urgent: s.state == looking})
 			continue
 		}
 		m.call = ordering
--- a/internal/expert/elmshift/elmshift_test.go
+++ b/internal/expert/elmshift/elmshift_test.go
@@ -114,6 +114,43 @@
 	}
 }
 
+// TestFrozenRank: a rank that freezes once the group is held does not keep it
+// held, whatever the phase in which its silence is noticed.
+func TestFrozenRank(t *testing.T) {
+	const frozen = 2
+	g := newGroup(4)
+	p := newPlanner(g, 1)
+	for turn := 0; !p.done(); turn++ {
+		if turn > 200 {
+			t.Fatalf("the planner is still in %s, and the group is held before pass %d", p.shift.State(), g.ranks[1].held)
+		}
+		c := p.pending[0]
+		silent := p.shift.Step() > 0 && g.ranks[1].held != 0
+		switch c := c.(type) {
+		case elmshift.Send:
+			if silent && c.Rank == frozen {
+				p.act(g, 0, carriedOutLate)
+				continue
+			}
+		case elmshift.Ask:
+			if silent && c.Rank == frozen {
+				p.act(g, 0, orderLost)
+				continue
+			}
+		}
+		p.act(g, 0, answered)
+	}
+	for range 5 {
+		g.pass()
+		for len(g.late) > 0 {
+			g.flushLate(0)
+		}
+	}
+	if g.step < 14 || g.mixed != "" {
+		t.Errorf("pass %d, mixed %q; want passes to go on with one map", g.step, g.mixed)
+	}
+}
+
 // scenario draws a run: orders are lost, answered late, or carried out much
 // later; planners die, and others repair what they left; the group reforms.
 func scenario(seed uint64) (*group, string) {
--- a/internal/expert/elmshift/messages.go
+++ b/internal/expert/elmshift/messages.go
@@ -46,6 +46,8 @@
 	Ask struct {
 		State string
 		Rank  int
+		// Urgent means that the group may be waiting for the answer.
+		Urgent bool
 	}
 	// Wait asks for a Waited after a short time.
 	Wait struct{}
