Let one agent repair a held group, and give up orders to the own rank after 60 ms

Now agents look 150 ms apart, leave a group to another whose hold they see for 0.8 s, and wait 60 ms for an order to the own rank, from the moment at which it is read.

--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -31,15 +31,22 @@
 const (
 	// callTimeout bounds a call to the own rank.
 	callTimeout = 250 * time.Millisecond
+	// orderTimeout bounds an order to the own rank, for which a group may wait.
+	orderTimeout = 60 * time.Millisecond
 	// serverTimeout bounds slow callers of the agent.
 	serverTimeout = 5 * time.Second
 	// watchEvery is the time between two looks at the own rank.
 	watchEvery = 125 * time.Millisecond
 	// stallPatience is how long a group with work may make no pass before it is
-	// looked at: several times the longest pass. Each rank waits a little
-	// longer than the one before, so that one agent acts.
+	// looked at: several times the longest pass. Each rank waits longer than the
+	// one before, about as long as a repair takes, so that one agent acts.
 	stallPatience = 500 * time.Millisecond
-	stallSpread   = 60 * time.Millisecond
+	stallSpread   = 150 * time.Millisecond
+	// spreadRanks bounds that in large groups.
+	spreadRanks = 16
+	// repairPatience is how long an agent leaves a group to another that has
+	// begun to repair it.
+	repairPatience = 800 * time.Millisecond
 )
 
 // Agent is the agent process beside a rank.
@@ -49,6 +56,7 @@
 	meter    *elmmeter.Meter
 	store    *platform.Store
 	ranks    *platform.Ranks
+	orders   *platform.Ranks
 	group    *elmgroup.Group
 	stall    stall
 }
@@ -57,7 +65,7 @@
 func New(settings platform.Settings, logger *elmlog.Logger) *Agent {
 	return &Agent{
 		settings: settings, logger: logger, meter: elmmeter.New(),
-		store: platform.NewStore(settings.Store), ranks: platform.NewRanks(callTimeout),
+		store: platform.NewStore(settings.Store), ranks: platform.NewRanks(callTimeout), orders: platform.NewRanks(orderTimeout),
 		group: elmgroup.New(settings.Instance, settings.Ports[0], logger),
 	}
 }
@@ -102,7 +110,7 @@
 			continue
 		}
 		now := elmclock.Now()
-		patience := stallPatience + time.Duration(report.Rank)*stallSpread
+		patience := stallPatience + time.Duration(report.Rank%spreadRanks)*stallSpread
 		if a.stall.see(report, now) && now-a.stall.since >= patience && now-a.stall.tried >= patience {
 			a.stall.tried = now
 			a.release(ctx, report, now-a.stall.since)
@@ -120,7 +128,7 @@
 	view, ok := a.group.Look(ctx, members, false)
 	held := view.Held()
 	a.logger.Event(elmlog.GroupStalled, "epoch", own.Epoch, "step", own.Step, "since", since, "complete", ok, "held", held)
-	if !ok || len(held) == 0 {
+	if !ok || len(held) == 0 || a.stall.repaired(held, elmclock.Now()) {
 		return
 	}
 	page, err := a.store.RangeStale(ctx, platform.ConfigKey, "")
--- a/internal/expert/elmrankagent/handler.go
+++ b/internal/expert/elmrankagent/handler.go
@@ -1,6 +1,7 @@
 package elmrankagent
 
 import (
+	"bytes"
 	"compress/gzip"
 	"io"
 	"net/http"
@@ -37,7 +38,16 @@
 		}
 		body = io.LimitReader(unpacked, orderBytes)
 	}
-	status, document, err := a.ranks.Pass(r.Context(), r.Method, a.settings.Beside, r.URL.RequestURI(), body)
+	rank := a.ranks
+	if r.Method == http.MethodPost {
+		order, err := io.ReadAll(body) // The planner's link may take longer than the rank may.
+		if err != nil {
+			http.Error(w, "order can't be read", http.StatusBadRequest)
+			return
+		}
+		rank, body = a.orders, bytes.NewReader(order)
+	}
+	status, document, err := rank.Pass(r.Context(), r.Method, a.settings.Beside, r.URL.RequestURI(), body)
 	if err != nil {
 		http.Error(w, "rank does not answer", http.StatusGatewayTimeout)
 		return
--- a/internal/expert/elmrankagent/stall.go
+++ b/internal/expert/elmrankagent/stall.go
@@ -1,6 +1,7 @@
 package elmrankagent
 
 import (
+	"maps"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
@@ -12,6 +13,9 @@
 	epoch int64
 	since time.Duration
 	tried time.Duration
+	// held are the holds that were seen last, and changed since when.
+	held    map[int]int64
+	changed time.Duration
 }
 
 // see takes a report and returns whether the rank has work and makes no passes.
@@ -23,3 +27,12 @@
 	}
 	return true
 }
+
+// repaired reports whether another agent seems to be repairing the group: it has
+// added a hold of its own lately.
+func (s *stall) repaired(held map[int]int64, now time.Duration) bool {
+	if !maps.Equal(held, s.held) {
+		s.held, s.changed = held, now
+	}
+	return len(held) > 1 && now-s.changed < repairPatience
+}
