Send an empty list for a rank without experts, and log orders that ranks reject

Cause: a rank that the plan leaves without experts in a set got null instead of an empty list, and ranks reject such a map. No line said which rank rejected what; now one does (1531), with phase, operation and version. Besides, a planner no longer plans while ranks are armed: those changes are always rejected.

Ruled out: too many new experts in a step, or too many places (checkMap, with the two spare ones of the grown site).

--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -272,6 +272,10 @@
 	default:
 		answered.Outcome = g.ranks.Order(ctx, address, c.Order)
 	}
+	if answered.Outcome != elmrank.Accepted {
+		g.logger.Event(elmlog.OrderNotAccepted, "rank", c.Rank, "phase", c.State, "operation", c.Order.Operation.String(),
+			"version", c.Order.Version, "step", c.Order.Step, "outcome", answered.Outcome.String())
+	}
 	return answered
 }
 
--- a/internal/expert/elmgroup/view.go
+++ b/internal/expert/elmgroup/view.go
@@ -1,6 +1,10 @@
 package elmgroup
 
-import "github.com/elmcove/elmcove/internal/expert/elmrank"
+import (
+	"slices"
+
+	"github.com/elmcove/elmcove/internal/expert/elmrank"
+)
 
 // busyShare is the part of a group's slots from which it counts as busy.
 const busyShare = 0.75
@@ -49,6 +53,11 @@
 	return found
 }
 
+// Armed reports whether a change of the map has not come into force yet.
+func (v View) Armed() bool {
+	return slices.ContainsFunc(v.Reports, func(r elmrank.Report) bool { return r.Armed != 0 })
+}
+
 // Paces returns how slow each rank is.
 func (v View) Paces() []float64 {
 	list := make([]float64, len(v.Reports))
--- a/internal/expert/elmplan/elmplan.go
+++ b/internal/expert/elmplan/elmplan.go
@@ -147,7 +147,8 @@
 func (l *layer) lists() [][]int {
 	lists := make([][]int, len(l.held))
 	for r := range l.held {
-		lists[r] = slices.Sorted(slices.Values(l.held[r]))
+		lists[r] = append([]int{}, l.held[r]...)
+		slices.Sort(lists[r])
 	}
 	return lists
 }
--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -135,7 +135,7 @@
 	weights := g.demand.add(view, *s.Engine, elmclock.Now())
 	paces := view.Paces()
 	p.publish(ctx, s.Name, g, view, paces)
-	if weights == nil || len(view.Held()) > 0 {
+	if weights == nil || view.Armed() || len(view.Held()) > 0 {
 		return view.Version != 0
 	}
 	least := worthwhile
--- a/internal/expert/elmrank/elmrank.go
+++ b/internal/expert/elmrank/elmrank.go
@@ -54,6 +54,11 @@
 	Go
 )
 
+// String returns the name of an operation for logs.
+func (o Operation) String() string {
+	return [...]string{"prepare", "arm", "disarm", "hold", "release"}[o]
+}
+
 // Order asks a rank to change its state.
 type Order struct {
 	Operation Operation
@@ -78,6 +83,11 @@
 	Rejected
 )
 
+// String returns the name of an outcome for logs.
+func (o Outcome) String() string {
+	return [...]string{"no answer", "accepted", "rejected"}[o]
+}
+
 // Report is what a rank says of itself.
 type Report struct {
 	Group string
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -60,6 +60,7 @@
 	GroupStalled        Event = 1528
 	CountsMissing       Event = 1529
 	MapUnknown          Event = 1530
+	OrderNotAccepted    Event = 1531
 	ProcessThawed       Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -112,6 +113,7 @@
 	GroupStalled:        {hclog.Warn, "group has work and makes no passes", "If it is not complete, find the rank that does not answer."},
 	CountsMissing:       {hclog.Info, "rank gave no counts", "None if it is rare. Otherwise look at the link of the planner's instance."},
 	MapUnknown:          {hclog.Warn, "expert map in use can't be read", "None if it is rare. Otherwise look at the agent of the rank."},
+	OrderNotAccepted:    {hclog.Info, "rank did not accept an order", "None if it is rare. If one rank rejects the same order again and again, look at its report."},
 	RosterSuspect:       {hclog.Warn, "instance list shrank suddenly and is not believed", "Check the platform's instance list. Links decide until it recovers."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
