--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -135,9 +135,9 @@
 // come again, so its request waits a little for a group that opens again or a
 // place that becomes free.
 func (d *delivery) place(c elmflight.Place) elmflight.Message {
-	until := elmclock.Now()
+	until := time.Duration(0)
 	if d.late {
-		until += min(returnPatience, d.left()-returnMargin)
+		until = d.began + min(returnPatience, d.allowed-returnMargin)
 	}
 	for {
 		message := d.placeNow(c)
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -358,3 +358,18 @@
 		})
 	}
 }
+
+// TestReturningCallerIsAnsweredInTime: a returning caller whose request was
+// rejected late is answered before it gives up, two seconds after it asked.
+func TestReturningCallerIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, nil)
+	w.ask(t.Context(), "POST", "/stream/a?stream=1", "", map[string]string{"Deadline-Ms": "5000"})
+	w.next(stand.RejectLate)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	got := w.ask(ctx, "POST", "/stream/a?stream=1", "", map[string]string{"Deadline-Ms": "4000"})
+	if got.err != nil || got.status != http.StatusServiceUnavailable {
+		t.Errorf("got %+v within two seconds; log:\n%s", got, w.log)
+	}
+}
