--- a/internal/expert/elmplanner/demand.go
+++ b/internal/expert/elmdemand/elmdemand.go
@@ -1,13 +1,20 @@
-package elmplanner
+// Package elmdemand follows which experts of a group are in demand, from the counts
+// that its ranks keep.
+//
+// Older demand fades, and is dropped at once when the demand shifts to other experts.
+//
+// # Usage
+//
+//	demand := elmdemand.New(sets, experts)
+//	weights := demand.Add(counts, now)
+package elmdemand
 
 import (
 	"math"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/expert/elmgroup"
 	"github.com/elmcove/elmcove/internal/expert/elmplan"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
-	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 )
 
 const (
@@ -19,28 +26,35 @@
 	shifted = 0.18
 )
 
-// demand is how much each expert was asked for lately.
-type demand struct {
+// Demand is how much each expert was asked for lately. It is not safe for
+// concurrent use.
+type Demand struct {
+	sets    int
+	experts int
 	weights elmplan.Weights
 	last    []elmrank.Counts
 	at      time.Duration
 }
 
-// add takes what was chosen since the last counts and returns the demand, or nil
-// while nothing is known. The first counts of a rank say nothing of the present:
-// they reach back to its start.
-func (d *demand) add(v elmgroup.View, e elmcatalog.Engine, now time.Duration) elmplan.Weights {
-	if len(d.last) != len(v.Counts) {
-		d.last = make([]elmrank.Counts, len(v.Counts))
-	}
-	if len(d.weights) != e.Sets {
-		d.weights = make(elmplan.Weights, e.Sets)
-		for s := range d.weights {
-			d.weights[s] = make([]float64, e.Experts)
-		}
+// New returns the demand of a group of which nothing is known yet.
+func New(sets, experts int) *Demand {
+	return &Demand{sets: sets, experts: experts, weights: empty(sets, experts)}
+}
+
+func empty(sets, experts int) elmplan.Weights {
+	weights := make(elmplan.Weights, sets)
+	for s := range weights {
+		weights[s] = make([]float64, experts)
 	}
-	if !v.Counted {
-		return d.known()
+	return weights
+}
+
+// Add takes what each rank has counted since its start and returns the demand, or
+// nil while nothing is known. The first counts of a rank say nothing of the
+// present: they reach back to its start.
+func (d *Demand) Add(counts []elmrank.Counts, now time.Duration) elmplan.Weights {
+	if len(d.last) != len(counts) {
+		d.last = make([]elmrank.Counts, len(counts))
 	}
 	left := math.Exp(-float64(now-d.at) / float64(memory))
 	d.at = now
@@ -49,12 +63,9 @@
 			d.weights[s][x] *= left
 		}
 	}
-	recent := make(elmplan.Weights, e.Sets)
-	for s := range recent {
-		recent[s] = make([]float64, e.Experts)
-	}
-	for r, c := range v.Counts {
-		if len(c.Counts) != e.Sets*e.Experts {
+	recent := empty(d.sets, d.experts)
+	for r, c := range counts {
+		if len(c.Counts) != d.sets*d.experts {
 			continue
 		}
 		before := d.last[r].Counts
@@ -67,7 +78,7 @@
 			if before[i] <= n {
 				n -= before[i]
 			}
-			recent[i/e.Experts][i%e.Experts] += float64(n)
+			recent[i/d.experts][i%d.experts] += float64(n)
 		}
 	}
 	d.merge(recent)
@@ -75,7 +86,7 @@
 }
 
 // merge adds recent demand to what is remembered, or replaces it after a shift.
-func (d *demand) merge(recent elmplan.Weights) {
+func (d *Demand) merge(recent elmplan.Weights) {
 	if moved(recent, d.weights) > shifted {
 		d.weights = recent
 		return
@@ -112,11 +123,9 @@
 }
 
 // known returns the demand, or nil if none was seen.
-func (d *demand) known() elmplan.Weights {
-	for _, w := range d.weights[0] {
-		if w > 0 {
-			return d.weights
-		}
+func (d *Demand) known() elmplan.Weights {
+	if len(d.weights) == 0 || total(d.weights[0]) == 0 {
+		return nil
 	}
-	return nil
+	return d.weights
 }
--- a/internal/expert/elmplanner/demand_test.go
+++ b/internal/expert/elmdemand/elmdemand_test.go
@@ -1,28 +1,24 @@
-package elmplanner
+package elmdemand_test
 
 import (
 	"testing"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/expert/elmgroup"
+	"github.com/elmcove/elmcove/internal/expert/elmdemand"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
-	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 )
 
-// view is a look at a group of one rank with counts of two experts.
-func view(counts ...int64) elmgroup.View {
-	return elmgroup.View{Counted: counts != nil, Counts: []elmrank.Counts{{Counts: counts}}}
-}
+// counts are those of a group of one rank with two experts.
+func counts(list ...int64) []elmrank.Counts { return []elmrank.Counts{{Counts: list}} }
 
 // TestDemandOfANewPlanner: a planner that takes over after an expert shift plans
 // for what is asked for now, not for what was asked for since the ranks began.
 func TestDemandOfANewPlanner(t *testing.T) {
-	engine := elmcatalog.Engine{Sets: 1, Experts: 2}
-	d := &demand{}
-	if weights := d.add(view(100000, 100), engine, time.Second); weights != nil {
+	d := elmdemand.New(1, 2)
+	if weights := d.Add(counts(100000, 100), time.Second); weights != nil {
 		t.Errorf("after one look the demand is %v, want none", weights)
 	}
-	weights := d.add(view(100010, 400), engine, 1500*time.Millisecond)
+	weights := d.Add(counts(100010, 400), 1500*time.Millisecond)
 	if weights == nil || weights[0][0] != 10 || weights[0][1] != 300 {
 		t.Errorf("after two looks the demand is %v, want 10 and 300", weights)
 	}
@@ -31,15 +27,14 @@
 // TestDemandFadesByTime: how fast old demand fades does not depend on how often
 // a planner looks.
 func TestDemandFadesByTime(t *testing.T) {
-	engine := elmcatalog.Engine{Sets: 1, Experts: 2}
 	for name, every := range map[string]time.Duration{"seldom": 1400 * time.Millisecond, "often": 140 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
-			d := &demand{}
-			d.add(view(0, 0), engine, 0)
-			d.add(view(1000, 0), engine, time.Millisecond)
+			d := elmdemand.New(1, 2)
+			d.Add(counts(0, 0), 0)
+			d.Add(counts(1000, 0), time.Millisecond)
 			last := 0.0
 			for at := every; at <= 1400*time.Millisecond; at += every {
-				last = d.add(view(1000, 0), engine, time.Millisecond+at)[0][0]
+				last = d.Add(counts(1000, 0), time.Millisecond+at)[0][0]
 			}
 			if last < 367 || last > 369 {
 				t.Errorf("%.1f of 1000 is left after 1.4 s, want 368", last)
@@ -50,10 +45,9 @@
 
 // TestDemandOfARankThatBeganAgain: counts that fall are those of a new start.
 func TestDemandOfARankThatBeganAgain(t *testing.T) {
-	engine := elmcatalog.Engine{Sets: 1, Experts: 2}
-	d := &demand{}
-	d.add(view(500, 500), engine, 0)
-	if weights := d.add(view(7, 3), engine, time.Second); weights[0][0] != 7 || weights[0][1] != 3 {
+	d := elmdemand.New(1, 2)
+	d.Add(counts(500, 500), 0)
+	if weights := d.Add(counts(7, 3), time.Second); weights[0][0] != 7 || weights[0][1] != 3 {
 		t.Errorf("the demand is %v, want 7 and 3", weights)
 	}
 }
@@ -61,7 +55,6 @@
 // TestExpertShiftIsFollowed: when other experts are in demand all at once, what was
 // seen before does not count any more; chance differences do not have that effect.
 func TestExpertShiftIsFollowed(t *testing.T) {
-	engine := elmcatalog.Engine{Sets: 1, Experts: 2}
 	for name, c := range map[string]struct {
 		more [2]int64
 		want [2]float64
@@ -72,10 +65,10 @@
 		"nothing new":   {[2]int64{0, 0}, [2]float64{1000, 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := &demand{}
-			d.add(view(0, 0), engine, 0)
-			d.add(view(1000, 0), engine, 0)
-			weights := d.add(view(1000+c.more[0], c.more[1]), engine, 0)
+			d := elmdemand.New(1, 2)
+			d.Add(counts(0, 0), 0)
+			d.Add(counts(1000, 0), 0)
+			weights := d.Add(counts(1000+c.more[0], c.more[1]), 0)
 			if weights[0][0] != c.want[0] || weights[0][1] != c.want[1] {
 				t.Errorf("the demand is %v, want %v", weights[0], c.want)
 			}
--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -98,7 +98,7 @@
 		wait.Go(func() { answers[i] = g.askRank(ctx, address, counts) })
 	}
 	wait.Wait()
-	v := View{Counted: counts}
+	v := View{}
 	for _, s := range answers {
 		if s.err != nil || !s.report.Open || s.report.Group == "" {
 			continue
--- a/internal/expert/elmgroup/view.go
+++ b/internal/expert/elmgroup/view.go
@@ -20,8 +20,6 @@
 	Agents  []bool
 	Reports []elmrank.Report
 	Counts  []elmrank.Counts
-	// Counted means that the counts were asked for.
-	Counted bool
 }
 
 // add takes a rank into the view, unless it belongs to another epoch or has
--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -17,6 +17,7 @@
 	"math"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/expert/elmdemand"
 	"github.com/elmcove/elmcove/internal/expert/elmgroup"
 	"github.com/elmcove/elmcove/internal/expert/elmplan"
 	"github.com/elmcove/elmcove/internal/forward/elmbelief"
@@ -59,8 +60,9 @@
 type groupState struct {
 	leadership *leadership
 	group      *elmgroup.Group
-	demand     *demand
-	slow       string
+	// demand is nil while another entry plans.
+	demand *elmdemand.Demand
+	slow   string
 	// next is the time of the next look.
 	next time.Duration
 }
@@ -97,12 +99,12 @@
 	if !ok {
 		g = &groupState{
 			leadership: newLeadership(p.store, p.settings, p.belief, s.Name, p.logger),
-			group:      elmgroup.New(p.settings.Instance, p.settings.Ports[0], p.logger), demand: &demand{},
+			group:      elmgroup.New(p.settings.Instance, p.settings.Ports[0], p.logger),
 		}
 		p.groups[s.Name] = g
 	}
 	if !g.leadership.hold(ctx) {
-		g.demand, g.slow = &demand{}, ""
+		g.demand, g.slow = nil, ""
 		return
 	}
 	if elmclock.Now() < g.next {
@@ -127,7 +129,10 @@
 	if !ok {
 		return true
 	}
-	weights := g.demand.add(view, *s.Engine, elmclock.Now())
+	if g.demand == nil {
+		g.demand = elmdemand.New(s.Engine.Sets, s.Engine.Experts)
+	}
+	weights := g.demand.Add(view.Counts, elmclock.Now())
 	paces := view.Paces()
 	p.publish(ctx, s.Name, g, view, paces)
 	if weights == nil || view.Armed() || len(view.Held()) > 0 {
