--- /dev/null
+++ b/internal/stand/elmlockstep/elmlockstep_test.go
@@ -0,0 +1,119 @@
+package elmlockstep_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/stand/elmlockstep"
+)
+
+const seeds = 3
+
+// mean plays the same settings with several seeds.
+func mean(s elmlockstep.Settings) elmlockstep.Result {
+	var sum elmlockstep.Result
+	for seed := range uint64(seeds) {
+		r := elmlockstep.Run(s, seed)
+		sum.OnTime += r.OnTime / seeds
+		sum.Late += r.Late / seeds
+		sum.Refused += r.Refused / seeds
+		sum.Left += r.Left / seeds
+		sum.Skew += r.Skew / seeds
+		sum.Copied += r.Copied
+	}
+	return sum
+}
+
+// span covers seconds of a run.
+func span(from, to int, factor float64) elmlockstep.Span {
+	return elmlockstep.Span{From: time.Duration(from) * time.Second, To: time.Duration(to) * time.Second, Factor: factor}
+}
+
+// TestCalm: on a calm day callers get at least the part of their credit that is
+// aimed at.
+func TestCalm(t *testing.T) {
+	t.Parallel()
+	if r := mean(elmlockstep.Calm()); r.OnTime < 0.93 {
+		t.Errorf("%.3f on time, want 0.93", r.OnTime)
+	}
+}
+
+// TestExpertShift: fitting maps to what is in demand serves as well as always
+// changing them, for a fraction of the copies, and better than the first map.
+func TestExpertShift(t *testing.T) {
+	t.Parallel()
+	fitted := mean(elmlockstep.Calm())
+	first := mean(elmlockstep.Calm().WithMaps(elmlockstep.First))
+	always := mean(elmlockstep.Calm().WithMaps(elmlockstep.Always))
+	if fitted.OnTime < first.OnTime+0.2 || fitted.OnTime < always.OnTime-0.01 {
+		t.Errorf("on time: fitted %.3f, first %.3f, always %.3f", fitted.OnTime, first.OnTime, always.OnTime)
+	}
+	if fitted.Copied > always.Copied/4 {
+		t.Errorf("%d experts copied, %d when maps always change", fitted.Copied, always.Copied)
+	}
+}
+
+// TestPatterns: against the previous way, more callers are served on time in each
+// pattern of load, and not more are sent away or give up than there are fewer late.
+func TestPatterns(t *testing.T) {
+	calm := elmlockstep.Calm()
+	for name, c := range map[string]struct{ before, after elmlockstep.Settings }{
+		"burst": {
+			calm.WithBurst(span(6, 14, 1.7)).WithOrder(elmlockstep.Arrival), calm.WithBurst(span(6, 14, 1.7)),
+		},
+		"short burst": {
+			calm.WithBurst(span(6, 9, 2.5)).WithOrder(elmlockstep.Arrival), calm.WithBurst(span(6, 9, 2.5)),
+		},
+		"slow rank": {
+			calm.WithSlow(span(10, 18, 5), false), calm.WithSlow(span(10, 18, 5), true),
+		},
+		"very slow rank": {
+			calm.WithSlow(span(10, 18, 12), false), calm.WithSlow(span(10, 18, 12), true),
+		},
+		"broken group": {
+			calm.WithAway(span(10, 16, 1)).WithOrder(elmlockstep.Arrival), calm.WithAway(span(10, 16, 1)),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			before, after := mean(c.before), mean(c.after)
+			if after.OnTime <= before.OnTime {
+				t.Errorf("%.3f on time, %.3f before", after.OnTime, before.OnTime)
+			}
+			if gained, lost := after.OnTime-before.OnTime, after.Refused+after.Left-before.Refused-before.Left; lost > gained/2 {
+				t.Errorf("%.3f more are on time, but %.3f more get nothing", gained, lost)
+			}
+		})
+	}
+}
+
+// TestBrokenGroup: five seconds after a group has opened again, nearly all new
+// callers are on time.
+func TestBrokenGroup(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds) {
+		r := elmlockstep.Run(elmlockstep.Calm().WithAway(span(10, 16, 1)), seed)
+		for second := 21; second < 30; second++ {
+			if r.Seconds[second] < 0.8 {
+				t.Errorf("seed %d: %.2f of those who came in second %d are on time", seed, r.Seconds[second], second)
+			}
+		}
+	}
+}
+
+// TestRunsRepeat: a run is decided by its settings and its seed.
+func TestRunsRepeat(t *testing.T) {
+	t.Parallel()
+	s := elmlockstep.Calm().WithBurst(span(2, 4, 2))
+	if a, b := elmlockstep.Run(s, 7), elmlockstep.Run(s, 7); !reflect.DeepEqual(a, b) {
+		t.Errorf("two runs differ: %+v and %+v", a, b)
+	}
+}
+
+func ExampleRun() {
+	result := elmlockstep.Run(elmlockstep.Calm().WithMaps(elmlockstep.Known), 1)
+	fmt.Println(result.OnTime > 0.9)
+	// Output: true
+}
