--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -40,11 +40,12 @@
 	// its work takes longer than usual.
 	slowCost = 4.0
 	// engineQueue is the part of an engine's slots that may wait for one: what
-	// waits longer would miss its objective.
-	engineQueue = 0.15
-	// lateQueue is the same for requests whose objective has passed. Endpoints
-	// admit them after all others.
-	lateQueue = 0.6
+	// waits longer would miss its objective. Source: docs/MODEL.md.
+	engineQueue = 0.08
+	// lateShare is the part of an engine's slots that may be taken when a request
+	// gets one whose objective has passed. The rest is kept for those that can be
+	// on time. Source: docs/MODEL.md.
+	lateShare = 0.8
 	// plainQueue is the number of requests that a plain service may have for
 	// each of its slots.
 	plainQueue = 3.0
@@ -129,17 +130,9 @@
 	slow      elmslow.List
 }
 
-// Load is the number of requests at an endpoint.
-type Load struct {
-	Open int
-	// Behind counts those among them that are late and wait there: the endpoint
-	// admits all others before them.
-	Behind int
-}
-
 type endpoint struct {
 	key     uint32
-	load    Load
+	open    int
 	failure float64
 	failed  time.Duration
 	latency float64
@@ -148,7 +141,7 @@
 
 type peer struct {
 	at    time.Duration
-	loads map[uint32]Load
+	loads map[uint32]int
 }
 
 type service struct {
@@ -178,20 +171,21 @@
 // Key shortens the identity of an endpoint for the messages between entries.
 func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// SetPeer takes the requests that another entry has at each endpoint, by Key.
-func (p *Placer) SetPeer(name string, loads map[uint32]Load, now time.Duration) {
+// SetPeer takes the number of requests that another entry has at each endpoint,
+// by Key.
+func (p *Placer) SetPeer(name string, loads map[uint32]int, now time.Duration) {
 	p.peers[name] = peer{at: now, loads: loads}
 }
 
 // SetSlow tells which ranks are slow. All ranks of a group wait for them.
 func (p *Placer) SetSlow(list elmslow.List) { p.slow = list }
 
-// Loads returns this entry's requests at each endpoint, by Key.
-func (p *Placer) Loads() map[uint32]Load {
-	loads := map[uint32]Load{}
+// Loads returns the number of this entry's requests at each endpoint, by Key.
+func (p *Placer) Loads() map[uint32]int {
+	loads := map[uint32]int{}
 	for _, e := range p.endpoints {
-		if e.load.Open > 0 {
-			loads[e.key] = e.load
+		if e.open > 0 {
+			loads[e.key] = e.open
 		}
 	}
 	return loads
@@ -213,7 +207,7 @@
 		if verdict == Absent {
 			verdict = Full
 		}
-		load := p.load(q, m.ID, now)
+		load := p.load(m.ID, now)
 		if load >= p.limit(q, m) || !p.bearsCold(q.Service, m, now) {
 			continue
 		}
@@ -258,20 +252,16 @@
 }
 
 // load returns the requests that all entries have at an endpoint, as far as
-// this one knows. Those that a request goes before do not count for it.
-func (p *Placer) load(q Query, id string, now time.Duration) float64 {
+// this one knows.
+func (p *Placer) load(id string, now time.Duration) float64 {
 	e := p.endpoint(id)
-	load := e.load
+	load := e.open
 	for _, other := range p.peers {
 		if now-other.at < peerLife {
-			load.Open += other.loads[e.key].Open
-			load.Behind += other.loads[e.key].Behind
+			load += other.loads[e.key]
 		}
 	}
-	if q.Late {
-		return float64(load.Open)
-	}
-	return float64(load.Open - load.Behind)
+	return float64(load)
 }
 
 func (p *Placer) limit(q Query, m elmbelief.Member) float64 {
@@ -279,7 +269,7 @@
 	case q.Service.Engine == nil:
 		return plainQueue * float64(m.Slots)
 	case q.Late:
-		return float64(m.Slots) * (1 + lateQueue)
+		return float64(m.Slots) * lateShare
 	}
 	return float64(m.Slots) * (1 + engineQueue)
 }
@@ -304,23 +294,17 @@
 }
 
 // Begin counts a request that is sent to an endpoint.
-func (p *Placer) Begin(id string, late bool, now time.Duration) {
+func (p *Placer) Begin(id string, now time.Duration) {
 	e := p.endpoint(id)
-	e.load.Open++
-	if late {
-		e.load.Behind++
-	}
+	e.open++
 	e.cold.Add(now)
 }
 
-// Admit counts a late request that no longer waits at its endpoint.
-func (p *Placer) Admit(id string) { p.endpoint(id).load.Behind-- }
-
 // End counts a request that has left an endpoint. Elapsed is the time to the
 // head of its answer.
 func (p *Placer) End(id string, outcome Outcome, elapsed, now time.Duration) {
 	e := p.endpoint(id)
-	e.load.Open--
+	e.open--
 	switch outcome {
 	case Served:
 		e.latency += latencyWeight * (elapsed.Seconds() - e.latency)
@@ -336,7 +320,7 @@
 // requests.
 func (p *Placer) Forget(listed func(id string) bool) {
 	for id, e := range p.endpoints {
-		if e.load.Open == 0 && !listed(id) {
+		if e.open == 0 && !listed(id) {
 			delete(p.endpoints, id)
 		}
 	}
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -59,7 +59,6 @@
 	member  elmbelief.Member
 	verdict elmplace.Verdict
 	open    bool
-	behind  bool
 	// reserved means that a place was taken before the flight asked for it.
 	reserved bool
 	sentAt   time.Duration
@@ -191,22 +190,11 @@
 	if d.verdict != elmplace.Placed {
 		return elmflight.Unplaced{}
 	}
-	d.router.placer.Begin(d.member.ID, d.late, now)
-	d.open, d.behind, d.sentAt = true, d.late, now
+	d.router.placer.Begin(d.member.ID, now)
+	d.open, d.sentAt = true, now
 	return elmflight.Placed{Endpoint: d.member.ID}
 }
 
-// begun notes that the endpoint has begun with the request.
-func (d *delivery) begun() {
-	if !d.behind {
-		return
-	}
-	d.behind = false
-	d.router.mutex.Lock()
-	defer d.router.mutex.Unlock()
-	d.router.placer.Admit(d.member.ID)
-}
-
 // release gives the endpoint's place back.
 func (d *delivery) release(outcome elmplace.Outcome) {
 	if d.answer != nil {
@@ -216,7 +204,6 @@
 	if !d.open {
 		return
 	}
-	d.begun()
 	d.open = false
 	now := elmclock.Now()
 	elapsed := now - d.sentAt
@@ -249,7 +236,6 @@
 		return d.unanswered(err)
 	}
 	d.answer = answer
-	d.begun()
 	return d.judge()
 }
 
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/forward/elmplace"
 	"github.com/elmcove/elmcove/internal/forward/elmslow"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
@@ -77,9 +76,9 @@
 }
 
 func (r *Router) heard(l *elmpeer.Loads) {
-	loads := map[uint32]elmplace.Load{}
+	loads := map[uint32]int{}
 	for _, e := range l.GetLoads() {
-		loads[e.GetEndpoint()] = elmplace.Load{Open: int(e.GetOpen()), Behind: int(e.GetBehind())}
+		loads[e.GetEndpoint()] = int(e.GetOpen())
 	}
 	now := elmclock.Now()
 	r.mutex.Lock()
@@ -99,8 +98,8 @@
 		r.mutex.Lock()
 		r.placer.SetEntries(len(near)+len(far)+1, now)
 		r.placer.SetSlow(slow)
-		for id, load := range r.placer.Loads() {
-			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(load.Open), Behind: uint32(load.Behind)})
+		for id, open := range r.placer.Loads() {
+			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
 		}
 		r.mutex.Unlock()
 		if len(message.Loads) == 0 && quiet {
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -111,7 +111,7 @@
 		found = verdict == elmplace.Placed && !placer.IsSlow(member) && placer.Repeat(d.service.Name, now)
 	}
 	if found {
-		placer.Begin(member.ID, false, now)
+		placer.Begin(member.ID, now)
 	}
 	d.router.mutex.Unlock()
 	if !found {
--- a/internal/stand/elmlockstep/callers.go
+++ b/internal/stand/elmlockstep/callers.go
@@ -221,7 +221,7 @@
 		q.order = 1
 	}
 	w.entries[q.entry].open[r]++
-	w.entries[q.entry].placer.Begin(name(r), q.late, w.now)
+	w.entries[q.entry].placer.Begin(name(r), w.now)
 	w.ranks[r].queue = append(w.ranks[r].queue, q)
 }
 
@@ -229,9 +229,6 @@
 func (w *world) leaveRank(q *request) {
 	e := &w.entries[q.entry]
 	e.open[q.rank]--
-	if q.late {
-		e.placer.Admit(name(q.rank))
-	}
 	e.placer.End(name(q.rank), elmplace.Ignored, 0, w.now)
 }
 
