Order requests at an endpoint by their workspace's urgency before their route's

PROTOCOL.md lets a workspace's priority go before that of the route; only the route's was used. TestOrderAtTheEndpoint fails on the code before.

--- a/internal/forward/elmcatalog/elmcatalog.go
+++ b/internal/forward/elmcatalog/elmcatalog.go
@@ -93,8 +93,9 @@
 
 // Workspace is the name, urgency and credentials of one.
 type Workspace struct {
-	Name        string
-	Priority    int
+	Name string
+	// Priority goes before that of the route, unless it is nil.
+	Priority    *int
 	Credentials []string
 }
 
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -150,7 +150,7 @@
 // order returns the place of the request in an endpoint's queue: by urgency, and
 // among equals those first that can still meet their objective.
 func (d *delivery) order() int {
-	order := min(2*max(d.route.Priority, 0), lastOrder-1)
+	order := min(2*max(d.urgency, 0), lastOrder-1)
 	if d.late {
 		order++
 	}
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -309,17 +309,20 @@
 	}
 }
 
-// TestOrderAtTheEndpoint: requests of returning callers, whose objective has
-// passed, go to the endpoint behind those that can be on time.
+// TestOrderAtTheEndpoint: requests wait at an endpoint by the urgency of their
+// workspace, or else of their route, and those of returning callers, whose objective
+// has passed, behind others of the same urgency.
 func TestOrderAtTheEndpoint(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 1, nil)
-	for _, deadline := range []string{"1500", "900"} {
-		w.ask(t.Context(), "POST", "/once/a", "", map[string]string{"Deadline-Ms": deadline, "Request-Priority": "0"})
-	}
-	runs := w.runs()
-	if fresh, late := runs[0].Header.Get("Request-Priority"), runs[1].Header.Get("Request-Priority"); fresh != "0" || late != "1" {
-		t.Errorf("places %q and %q in the endpoint's queue, want 0 and 1", fresh, late)
+	for _, c := range []struct{ target, deadline, want string }{
+		{"/once/a", "1500", "2"}, {"/once/a", "900", "3"}, {"/open/a", "1500", "4"}, {"/open/a", "900", "5"},
+	} {
+		w.ask(t.Context(), "POST", c.target, "", map[string]string{"Deadline-Ms": c.deadline, "Request-Priority": "0"})
+		runs := w.runs()
+		if got := runs[len(runs)-1].Header.Get("Request-Priority"); got != c.want {
+			t.Errorf("%s with %s ms left has place %s in the endpoint's queue, want %s", c.target, c.deadline, got, c.want)
+		}
 	}
 }
 
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -68,10 +68,10 @@
 		"routes": []any{
 			route("/once/", "non_idempotent", 1500, false), route("/again/", "idempotent", 1500, false),
 			route("/stream/", "streaming", 5000, true), route("/single/", "streaming", 5000, false),
-			map[string]any{"name": "open", "host": host, "prefix": "/open/", "kind": "idempotent", "service": "desk", "public": true},
+			map[string]any{"name": "open", "priority": 2, "host": host, "prefix": "/open/", "kind": "idempotent", "service": "desk", "public": true},
 		},
 		"services": []any{map[string]any{"name": "desk", "maxConnections": 10}},
-		"tenants":  []any{map[string]any{"name": "crew", "apiKeys": credentials}},
+		"tenants":  []any{map[string]any{"name": "crew", "apiKeys": credentials, "priority": 1}},
 		"limits":   map[string]any{"maxHeaderBytes": 4096, "maxBodyBytes": 1000, "idleTimeoutMs": 5000},
 	})
 	return document
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -51,8 +51,10 @@
 	route     elmcatalog.Route
 	service   elmcatalog.Service
 	workspace string
-	body      []byte
-	began     time.Duration
+	// urgency is the workspace's priority, or else the route's. 0 is first.
+	urgency int
+	body    []byte
+	began   time.Duration
 	// allowed is the time until the caller or the route wants it ended.
 	allowed time.Duration
 }
@@ -91,6 +93,7 @@
 	if !ok {
 		return a, doubtful(age, errRefused{http.StatusNotFound, reasonRoute})
 	}
+	a.urgency = a.route.Priority
 	if catalog.Guarded() && !a.route.Public {
 		if age > time.Duration(float64(r.settings.Bounds.Revoke)*revokeMargin) {
 			return a, errRefused{http.StatusServiceUnavailable, reasonStale}
@@ -100,6 +103,9 @@
 			return a, doubtful(age, errRefused{http.StatusUnauthorized, reasonCredential})
 		}
 		a.workspace = workspace.Name
+		if workspace.Priority != nil {
+			a.urgency = *workspace.Priority
+		}
 	}
 	if a.service, ok = catalog.Service(a.route.Choose(rand.Float64())); !ok {
 		return a, errRefused{http.StatusServiceUnavailable, reasonNoService}
