Keep the groups of a service apart

Entries took one broken group for the whole service.

Now a look gives one view for each group name; each has its own demand, versions, maps and passes, and is fitted beside the others. Agents repair their own group only. An entry counts only the endpoint that rejected as broken (for 2 s, twice as long each time, at most 16 s) while others of the service make progress, and the service otherwise.

TestTwoGroups, TestOneOfSeveralGroups.

--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -8,13 +8,17 @@
 // # Usage
 //
 //	group := elmgroup.New("entry-1", port, logger)
-//	view, ok := group.Look(ctx, members, true)
-//	shift := group.Conduct(ctx, view, shift, commands)
+//	for _, view := range group.Look(ctx, members, true) {
+//		current, ok := group.Map(ctx, view, engine)
+//		group.Change(ctx, view, current, next)
+//	}
 package elmgroup
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -89,33 +93,34 @@
 	err     error
 }
 
-// Look asks all ranks for their reports and, if asked to, for their counts. It
-// returns false unless the group is open and complete.
-func (g *Group) Look(ctx context.Context, members []string, counts bool) (View, bool) {
+// Look asks ranks for their reports and, if asked to, for their counts. It returns
+// the groups among them that are open and complete, in the order of their names. A
+// service may have several groups, and ranks that belong to none.
+func (g *Group) Look(ctx context.Context, members []string, counts bool) []View {
 	answers := make([]rankAnswer, len(members))
 	var wait sync.WaitGroup
 	for i, address := range members {
 		wait.Go(func() { answers[i] = g.askRank(ctx, address, counts) })
 	}
 	wait.Wait()
-	v := View{}
-	for _, s := range answers {
-		if s.err != nil || !s.report.Open || s.report.Group == "" {
-			continue
-		}
-		if !v.add(s) {
-			return v, false
+	found := map[string][]rankAnswer{}
+	for _, a := range answers {
+		if a.err == nil && a.report.Open && a.report.Group != "" {
+			found[a.report.Group] = append(found[a.report.Group], a)
 		}
 	}
-	for _, address := range v.Addresses {
-		if address == "" {
-			return v, false
+	var views []View
+	for _, name := range slices.Sorted(maps.Keys(found)) {
+		if v, complete := newView(name, found[name]); complete {
+			views = append(views, v)
 		}
 	}
-	g.passes = g.passes.seen(v, elmclock.Now())
-	return v, len(v.Reports) > 0
+	return views
 }
 
+// See takes a view of the group for later changes of its map.
+func (g *Group) See(v View) { g.passes = g.passes.seen(v, elmclock.Now()) }
+
 // askRank asks one rank through its agent, or itself if the agent does not answer.
 func (g *Group) askRank(ctx context.Context, address string, counts bool) rankAnswer {
 	s := rankAnswer{address: address, agent: true}
--- a/internal/expert/elmgroup/view.go
+++ b/internal/expert/elmgroup/view.go
@@ -11,6 +11,7 @@
 
 // View is what was seen of a group, with one entry for each rank.
 type View struct {
+	Name    string
 	Epoch   int64
 	Version int64
 	// Highest is the highest version that a rank has.
@@ -22,6 +23,18 @@
 	Counts  []elmrank.Counts
 }
 
+// newView returns the view that the answers of a group's ranks give, and whether it
+// is complete: one answer for each rank, of one epoch and one map.
+func newView(name string, answers []rankAnswer) (View, bool) {
+	v := View{Name: name}
+	for _, a := range answers {
+		if !v.add(a) {
+			return v, false
+		}
+	}
+	return v, len(answers) > 0 && !slices.Contains(v.Addresses, "")
+}
+
 // add takes a rank into the view, unless it belongs to another epoch or has
 // another map.
 func (v *View) add(s rankAnswer) bool {
--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -15,6 +15,8 @@
 import (
 	"context"
 	"math"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/expert/elmdemand"
@@ -53,23 +55,29 @@
 	store    *platform.Store
 	belief   func() elmbelief.Belief
 	logger   *elmlog.Logger
-	groups   map[string]*groupState
+	services map[string]*serviceState
 }
 
-// groupState is what a planner keeps for one service.
-type groupState struct {
+// serviceState is what a planner keeps for one service.
+type serviceState struct {
 	leadership *leadership
-	group      *elmgroup.Group
-	// demand is nil while another entry plans.
-	demand *elmdemand.Demand
+	look       *elmgroup.Group
+	// groups are those of the service by name, while this entry plans for it.
+	groups map[string]*groupState
 	slow   string
 	// next is the time of the next look.
 	next time.Duration
 }
 
+// groupState is what a planner keeps for one group.
+type groupState struct {
+	group  *elmgroup.Group
+	demand *elmdemand.Demand
+}
+
 // New returns a planner that is not running yet.
 func New(settings platform.Settings, store *platform.Store, belief func() elmbelief.Belief, logger *elmlog.Logger) *Planner {
-	return &Planner{settings: settings, store: store, belief: belief, logger: logger, groups: map[string]*groupState{}}
+	return &Planner{settings: settings, store: store, belief: belief, logger: logger, services: map[string]*serviceState{}}
 }
 
 // Run plans until the context ends.
@@ -79,8 +87,8 @@
 	for {
 		select {
 		case <-ctx.Done():
-			for _, g := range p.groups {
-				g.leadership.leave()
+			for _, s := range p.services {
+				s.leadership.leave()
 			}
 			return
 		case <-ticker.C:
@@ -93,48 +101,74 @@
 	}
 }
 
-// tend looks at the group of a service if this entry plans for it.
+// tend looks at the groups of a service if this entry plans for it.
 func (p *Planner) tend(ctx context.Context, s elmcatalog.Service) {
-	g, ok := p.groups[s.Name]
+	state, ok := p.services[s.Name]
 	if !ok {
-		g = &groupState{
+		state = &serviceState{
 			leadership: newLeadership(p.store, p.settings, p.belief, s.Name, p.logger),
-			group:      elmgroup.New(p.settings.Instance, p.settings.Ports[0], p.logger),
+			look:       p.newGroup(), groups: map[string]*groupState{},
 		}
-		p.groups[s.Name] = g
+		p.services[s.Name] = state
 	}
-	if !g.leadership.hold(ctx) {
-		g.demand, g.slow = nil, ""
+	if !state.leadership.hold(ctx) {
+		clear(state.groups)
+		state.slow = ""
 		return
 	}
-	if elmclock.Now() < g.next {
+	if elmclock.Now() < state.next {
 		return
 	}
 	rest := soonEvery
-	if p.round(ctx, s, g) {
+	if p.round(ctx, s, state) {
 		rest = roundEvery
 	}
-	g.next = elmclock.Now() + rest
+	state.next = elmclock.Now() + rest
 }
 
-// round looks at all ranks and changes their map if that is worthwhile. It returns
-// false while the group is not open or still has the map with which it opened.
-func (p *Planner) round(ctx context.Context, s elmcatalog.Service, g *groupState) bool {
-	members := addresses(p.belief().Ranks(s.Name))
-	view, ok := g.group.Look(ctx, members, true)
-	if !ok {
-		return false
+func (p *Planner) newGroup() *elmgroup.Group {
+	return elmgroup.New(p.settings.Instance, p.settings.Ports[0], p.logger)
+}
+
+// round looks at all ranks of a service and tends each of its groups. It returns
+// false while none is open, or one still has the map with which it opened.
+func (p *Planner) round(ctx context.Context, s elmcatalog.Service, state *serviceState) bool {
+	views := state.look.Look(ctx, addresses(p.belief().Ranks(s.Name)), true)
+	settled := len(views) > 0
+	slow := elmslow.List{}
+	for _, v := range views {
+		for r, pace := range v.Paces() {
+			if pace >= slowPace {
+				slow[v.Addresses[r]] = math.Round(pace)
+			}
+		}
+	}
+	if len(views) > 0 {
+		p.publish(ctx, s.Name, state, slow)
 	}
+	fitted := make([]bool, len(views))
+	var wait sync.WaitGroup
+	for i, v := range views {
+		g, ok := state.groups[v.Name]
+		if !ok {
+			g = &groupState{group: p.newGroup(), demand: elmdemand.New(s.Engine.Sets, s.Engine.Experts)}
+			state.groups[v.Name] = g
+		}
+		wait.Go(func() { fitted[i] = p.fit(ctx, s, g, v) })
+	}
+	wait.Wait()
+	return settled && !slices.Contains(fitted, false)
+}
+
+// fit changes the map of a group if that is worthwhile. It returns false while the
+// group still has the map with which it opened.
+func (p *Planner) fit(ctx context.Context, s elmcatalog.Service, g *groupState, view elmgroup.View) bool {
+	g.group.See(view)
 	current, ok := g.group.Map(ctx, view, *s.Engine)
 	if !ok {
 		return true
 	}
-	if g.demand == nil {
-		g.demand = elmdemand.New(s.Engine.Sets, s.Engine.Experts)
-	}
 	weights := g.demand.Add(view.Counts, elmclock.Now())
-	paces := view.Paces()
-	p.publish(ctx, s.Name, g, view, paces)
 	if weights == nil || view.Armed() || len(view.Held()) > 0 {
 		return view.Version != 0
 	}
@@ -142,13 +176,13 @@
 	if view.Busy(s.Engine.Slots) {
 		least = worthwhileBusy
 	}
-	planner := elmplan.New(s.Engine.Places, s.Engine.Spare).WithTarget(goal).WithPaces(paces)
+	planner := elmplan.New(s.Engine.Places, s.Engine.Spare).WithTarget(goal).WithPaces(view.Paces())
 	next := planner.Improve(current, weights)
 	before, after := planner.Peak(current, weights), planner.Peak(next, weights)
 	if before-after < least {
 		return true
 	}
-	p.logger.Event(elmlog.MapPlanned, "service", s.Name, "epoch", view.Epoch, "map", view.Version, "peak", before, "planned", after)
+	p.logger.Event(elmlog.MapPlanned, "service", s.Name, "group", view.Name, "epoch", view.Epoch, "map", view.Version, "peak", before, "planned", after)
 	g.group.Change(ctx, view, current, next)
 	return true
 }
@@ -163,22 +197,16 @@
 
 // publish tells the entries which ranks are slow, when that changes. The key
 // ends with the planner's lease.
-func (p *Planner) publish(ctx context.Context, service string, g *groupState, v elmgroup.View, paces []float64) {
-	list := elmslow.List{}
-	for r, pace := range paces {
-		if pace >= slowPace {
-			list[v.Addresses[r]] = math.Round(pace)
-		}
-	}
-	value := list.String()
-	if value == g.slow {
+func (p *Planner) publish(ctx context.Context, service string, state *serviceState, slow elmslow.List) {
+	value := slow.String()
+	if value == state.slow {
 		return
 	}
 	key := platform.OwnPrefix + elmslow.Key + service
-	if _, err := p.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(value), Lease: g.leadership.lease}}); err != nil {
+	if _, err := p.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(value), Lease: state.leadership.lease}}); err != nil {
 		p.logger.Event(elmlog.StoreDown, "call", "publish slow ranks", "error", err)
 		return
 	}
 	p.logger.Event(elmlog.RanksSlow, "service", service, "ranks", value)
-	g.slow = value
+	state.slow = value
 }
--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -51,7 +51,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{store: stand.NewStore(), group: stand.NewGroup(ranks, 2, experts), logs: &record{}}
+	w := &world{store: stand.NewStore(), group: stand.NewGroup("g0", ranks, 2, experts), logs: &record{}}
 	server := httptest.NewServer(w.store)
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
@@ -62,7 +62,7 @@
 	})
 	w.store.Put("op/config", document)
 	for r := range ranks {
-		w.start(t, r, strings.TrimPrefix(server.URL, "http://"))
+		w.start(t, w.group, r, r, strings.TrimPrefix(server.URL, "http://"))
 	}
 	return w
 }
@@ -83,15 +83,16 @@
 	t.Cleanup(wait.Wait)
 }
 
-// start runs a rank and the agent beside it on the loopback address 127.0.1.r.
-func (w *world) start(t *testing.T, r int, store string) {
+// start runs a rank of a group and the agent beside it, as the n-th endpoint, on a
+// loopback address of its own.
+func (w *world) start(t *testing.T, group *stand.Group, r, n int, store string) {
 	t.Helper()
-	ip := fmt.Sprintf("127.0.1.%d", r+1)
+	ip := fmt.Sprintf("127.0.1.%d", n+1)
 	listener, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewUnstartedServer(w.group.Rank(r))
+	server := httptest.NewUnstartedServer(group.Rank(r))
 	server.Listener = listener
 	server.Start()
 	t.Cleanup(server.Close)
@@ -99,11 +100,11 @@
 	entry, _ := json.Marshal(map[string]any{
 		"service": "draft", "address": listener.Addr().String(), "zone": "home", "slots": 12, "state": "ready", "coldLeftMs": 0,
 	})
-	w.store.Put(fmt.Sprintf("servers/r%d", r), entry)
+	w.store.Put(fmt.Sprintf("servers/r%d", n), entry)
 	agent := elmrankagent.New(platform.Settings{
-		Instance: fmt.Sprintf("agent-%d", r), Datacentre: "home", IP: ip, Ports: []int{port},
+		Instance: fmt.Sprintf("agent-%d", n), Datacentre: "home", IP: ip, Ports: []int{port},
 		Beside: listener.Addr().String(), Service: "draft", Store: store, Lease: time.Second,
-	}, elmlog.NewJSON(fmt.Sprintf("agent-%d", r), w.logs))
+	}, elmlog.NewJSON(fmt.Sprintf("agent-%d", n), w.logs))
 	done := make(chan error, 1)
 	go func() { done <- agent.Run(t.Context()) }()
 	t.Cleanup(func() {
@@ -146,6 +147,33 @@
 	}
 }
 
+// TestTwoGroups: a service whose ranks form two groups, and one rank that belongs to
+// none: both groups get maps of their own, and no pass of either mixes two.
+func TestTwoGroups(t *testing.T) {
+	w := newWorld(t)
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	other := stand.NewGroup("g1", ranks, 2, experts)
+	alone := stand.NewGroup("g2", ranks, 2, experts)
+	for r := range ranks {
+		w.start(t, other, r, ranks+r, strings.TrimPrefix(server.URL, "http://"))
+	}
+	w.start(t, alone, 0, 2*ranks, strings.TrimPrefix(server.URL, "http://"))
+	w.plan(t, "entry-1")
+	w.eventually(t, "copied in both groups", func() bool {
+		w.group.Choose(2, 200)
+		other.Choose(5, 200)
+		other.Pass()
+		return w.group.Holders(2) > 1 && other.Holders(5) > 1
+	})
+	for name, g := range map[string]*stand.Group{"g0": w.group, "g1": other, "g2": alone} {
+		if _, mixed := g.Version(); mixed {
+			t.Errorf("a pass of %s mixed two maps", name)
+		}
+	}
+}
+
 // TestHeldGroup: a group that a planner has left held is released by the agents
 // that see no passes.
 func TestHeldGroup(t *testing.T) {
--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -125,7 +126,13 @@
 		a.logger.Event(elmlog.StoreDown, "call", "list ranks", "error", err)
 		return
 	}
-	view, ok := a.group.Look(ctx, members, false)
+	views := a.group.Look(ctx, members, false)
+	i := slices.IndexFunc(views, func(v elmgroup.View) bool { return v.Name == own.Group })
+	ok := i >= 0
+	var view elmgroup.View
+	if ok {
+		view = views[i]
+	}
 	held := view.Held()
 	a.logger.Event(elmlog.GroupStalled, "epoch", own.Epoch, "step", own.Step, "since", since, "complete", ok, "held", held)
 	if !ok || len(held) == 0 || a.stall.repaired(held, elmclock.Now()) {
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -57,6 +57,12 @@
 	// entriesLife is the time for which entries that are no longer listed count:
 	// several times that in which they list themselves again.
 	entriesLife = 15 * time.Second
+	// aliveGap is how long ago an engine must have made progress for its service to
+	// count as alive: less than the time for which ranks of a broken group stall.
+	aliveGap = time.Second
+	// mostBrokenLife bounds the time for which an endpoint that is again and again
+	// found in a broken group gets nothing.
+	mostBrokenLife = 16 * time.Second
 	// brokenLife is the time after which a group that was found broken is
 	// tried again if no report says that it is open.
 	brokenLife = 2 * time.Second
@@ -137,6 +143,10 @@
 	failed  time.Duration
 	latency float64
 	cold    *elmshare.Counter
+	// broken is until when the endpoint counts as part of a broken group, and
+	// brokenFor how long it did so last.
+	broken    time.Duration
+	brokenFor time.Duration
 }
 
 type peer struct {
@@ -149,6 +159,9 @@
 	repeats  *elmshare.Counter
 	broken   time.Duration
 	isBroken bool
+	// progress is when an endpoint last answered or made an event.
+	progress time.Duration
+	alive    bool
 }
 
 // New returns a Placer that knows of no other entry.
@@ -204,7 +217,13 @@
 		if slices.Contains(q.Tried, m.ID) || spare && p.IsSlow(m) {
 			continue
 		}
-		if verdict == Absent {
+		if now < p.endpoint(m.ID).broken {
+			if verdict == Absent {
+				verdict = Broken
+			}
+			continue
+		}
+		if verdict == Absent || verdict == Broken {
 			verdict = Full
 		}
 		load := p.load(m.ID, now)
@@ -363,6 +382,27 @@
 	return news
 }
 
+// Progress counts an answer or an event of an endpoint.
+func (p *Placer) Progress(name, id string, now time.Duration) {
+	s := p.service(name)
+	s.progress, s.alive = now, true
+	p.endpoint(id).brokenFor = 0
+}
+
+// Blame takes the news that the group of an endpoint is broken. It returns whether
+// that holds for the whole service: where other endpoints make progress there are
+// other groups, and only this endpoint counts as broken.
+func (p *Placer) Blame(name, id string, now time.Duration) bool {
+	s := p.service(name)
+	if !s.alive || now-s.progress >= aliveGap {
+		return true
+	}
+	e := p.endpoint(id)
+	e.brokenFor = min(max(2*e.brokenFor, brokenLife), mostBrokenLife)
+	e.broken = now + e.brokenFor
+	return false
+}
+
 // IsBroken reports whether the group of a service is known to be broken.
 func (p *Placer) IsBroken(name string, now time.Duration) bool {
 	s := p.service(name)
--- a/internal/forward/elmplace/elmplace_test.go
+++ b/internal/forward/elmplace/elmplace_test.go
@@ -210,6 +210,36 @@
 	}
 }
 
+// TestOneOfSeveralGroups: where other endpoints of a service make progress, a broken
+// group, or a rank that belongs to none, takes only its own endpoint away, for longer
+// each time. Where none does, the whole service is broken.
+func TestOneOfSeveralGroups(t *testing.T) {
+	p := newPlacer()
+	if !p.Blame("draft", "e0", 0) {
+		t.Error("before anything has answered, one endpoint's news does not hold for the service")
+	}
+	p.Progress("draft", "e1", time.Second)
+	if p.Blame("draft", "e0", 1500*time.Millisecond) {
+		t.Error("the service counts as broken half a second after progress")
+	}
+	for at, want := range map[time.Duration]int{1600 * time.Millisecond: 0, 3600 * time.Millisecond: 13} {
+		if got, _ := fill(p, engines, members(2), 1000, at); got["e0"] != want {
+			t.Errorf("%d requests at the broken endpoint at %v, want %d", got["e0"], at, want)
+		}
+		p = newPlacer()
+		p.Progress("draft", "e1", time.Second)
+		p.Blame("draft", "e0", 1500*time.Millisecond)
+	}
+	p.Progress("draft", "e1", 3600*time.Millisecond)
+	p.Blame("draft", "e0", 3600*time.Millisecond)
+	if got, _ := fill(p, engines, members(2), 1000, 7*time.Second); got["e0"] != 0 {
+		t.Errorf("%d requests at an endpoint that was broken twice, 3.4 s later", got["e0"])
+	}
+	if !p.Blame("draft", "e0", 5*time.Second) {
+		t.Error("1.4 s after the last progress the service does not count as broken")
+	}
+}
+
 // TestRepeatsOfABrokenService: repeats of all entries together stay within the
 // budget in any window, however many requests fail.
 func TestRepeatsOfABrokenService(t *testing.T) {
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -266,7 +266,7 @@
 	case verdict.NotRun:
 		d.cause = errRefused{d.answer.Status, "endpoint rejected it"}
 		if verdict.Blamed != "" && d.service.Engine != nil {
-			d.router.setBroken(d.service.Name, true, "rejected by "+d.member.ID+" for "+verdict.Blamed)
+			d.router.blame(d.service.Name, d.member.ID, verdict.Blamed)
 		}
 		drain(d.answer)
 		d.release(elmplace.Failed)
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -166,6 +166,26 @@
 // pollEvery is the time between two such questions.
 const pollEvery = 150 * time.Millisecond
 
+// progress takes the news that an endpoint has made an event.
+func (r *Router) progress(service, endpoint string, now time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.placer.Progress(service, endpoint, now)
+}
+
+// blame takes the news that an endpoint rejected a request because its group is
+// broken.
+func (r *Router) blame(service, endpoint, blamed string) {
+	r.mutex.Lock()
+	whole := r.placer.Blame(service, endpoint, elmclock.Now())
+	r.mutex.Unlock()
+	if whole {
+		r.setBroken(service, true, "rejected by "+endpoint+" for "+blamed)
+		return
+	}
+	r.logger.Event(elmlog.EndpointBroken, "service", service, "endpoint", endpoint, "blamed", blamed)
+}
+
 // setBroken takes the news that a group is broken or open. While it is broken,
 // one rank in turn is asked for its state.
 func (r *Router) setBroken(service string, broken bool, cause string) {
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -133,9 +133,11 @@
 	if !events {
 		return nil
 	}
+	now := elmclock.Now()
 	if d.first == 0 {
-		d.first = elmclock.Now()
+		d.first = now
 	}
+	d.router.progress(d.service.Name, d.member.ID, now)
 	if err := http.NewResponseController(d.writer).Flush(); err != nil {
 		return errCaller
 	}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -61,6 +61,7 @@
 	CountsMissing       Event = 1529
 	MapUnknown          Event = 1530
 	OrderNotAccepted    Event = 1531
+	EndpointBroken      Event = 1532
 	ProcessThawed       Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -114,6 +115,7 @@
 	CountsMissing:       {hclog.Info, "rank gave no counts", "None if it is rare. Otherwise look at the link of the planner's instance."},
 	MapUnknown:          {hclog.Warn, "expert map in use can't be read", "None if it is rare. Otherwise look at the agent of the rank."},
 	OrderNotAccepted:    {hclog.Info, "rank did not accept an order", "None if it is rare. If one rank rejects the same order again and again, look at its report."},
+	EndpointBroken:      {hclog.Warn, "endpoint's group is broken, others of the service are not", "Find the endpoint that is blamed. If it stays, the endpoint belongs to no complete group."},
 	RosterSuspect:       {hclog.Warn, "instance list shrank suddenly and is not believed", "Check the platform's instance list. Links decide until it recovers."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
