Tell entries to avoid ranks that belong to no open group

The planner sees in its look which ranks are in an open group; the others now stand on the list of ranks to avoid while one group is open.

TestTwoGroups fails on the code before.

--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -8,7 +8,8 @@
 // # Usage
 //
 //	group := elmgroup.New("entry-1", port, logger)
-//	for _, view := range group.Look(ctx, members, true) {
+//	views, idle := group.Look(ctx, members, true)
+//	for _, view := range views {
 //		current, ok := group.Map(ctx, view, engine)
 //		group.Change(ctx, view, current, next)
 //	}
@@ -94,9 +95,9 @@
 }
 
 // Look asks ranks for their reports and, if asked to, for their counts. It returns
-// the groups among them that are open and complete, in the order of their names. A
-// service may have several groups, and ranks that belong to none.
-func (g *Group) Look(ctx context.Context, members []string, counts bool) []View {
+// the groups among them that are open and complete, in the order of their names, and
+// the ranks that answered but belong to none of these.
+func (g *Group) Look(ctx context.Context, members []string, counts bool) (views []View, idle []string) {
 	answers := make([]rankAnswer, len(members))
 	var wait sync.WaitGroup
 	for i, address := range members {
@@ -105,17 +106,20 @@
 	wait.Wait()
 	found := map[string][]rankAnswer{}
 	for _, a := range answers {
-		if a.err == nil && a.report.Open && a.report.Group != "" {
+		switch {
+		case a.err != nil:
+		case a.report.Open && a.report.Group != "":
 			found[a.report.Group] = append(found[a.report.Group], a)
+		default:
+			idle = append(idle, a.address)
 		}
 	}
-	var views []View
 	for _, name := range slices.Sorted(maps.Keys(found)) {
 		if v, complete := newView(name, found[name]); complete {
 			views = append(views, v)
 		}
 	}
-	return views
+	return views, idle
 }
 
 // See takes a view of the group for later changes of its map.
--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -47,6 +47,9 @@
 	goal = 1.25
 	// slowPace is the pace from which entries avoid a rank.
 	slowPace = 1.5
+	// idlePace stands for ranks that serve nothing, since they belong to no open
+	// group while others do: higher than that of any slow rank.
+	idlePace = 1000
 )
 
 // Planner plans for the groups of all services.
@@ -133,9 +136,12 @@
 // round looks at all ranks of a service and tends each of its groups. It returns
 // false while none is open, or one still has the map with which it opened.
 func (p *Planner) round(ctx context.Context, s elmcatalog.Service, state *serviceState) bool {
-	views := state.look.Look(ctx, addresses(p.belief().Ranks(s.Name)), true)
+	views, idle := state.look.Look(ctx, addresses(p.belief().Ranks(s.Name)), true)
 	settled := len(views) > 0
 	slow := elmslow.List{}
+	for _, address := range idle {
+		slow[address] = idlePace
+	}
 	for _, v := range views {
 		for r, pace := range v.Paces() {
 			if pace >= slowPace {
@@ -195,7 +201,7 @@
 	return list
 }
 
-// publish tells the entries which ranks are slow, when that changes. The key
+// publish tells the entries which ranks to avoid, when that changes. The key
 // ends with the planner's lease.
 func (p *Planner) publish(ctx context.Context, service string, state *serviceState, slow elmslow.List) {
 	value := slow.String()
--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -159,6 +159,7 @@
 	for r := range ranks {
 		w.start(t, other, r, ranks+r, strings.TrimPrefix(server.URL, "http://"))
 	}
+	alone.Break()
 	w.start(t, alone, 0, 2*ranks, strings.TrimPrefix(server.URL, "http://"))
 	w.plan(t, "entry-1")
 	w.eventually(t, "copied in both groups", func() bool {
@@ -167,6 +168,9 @@
 		other.Pass()
 		return w.group.Holders(2) > 1 && other.Holders(5) > 1
 	})
+	w.eventually(t, "told to avoid the rank without a group", func() bool {
+		return strings.HasPrefix(w.store.Value("elmcove/slow/draft"), "127.0.1.9:") && strings.HasSuffix(w.store.Value("elmcove/slow/draft"), "=1000")
+	})
 	for name, g := range map[string]*stand.Group{"g0": w.group, "g1": other, "g2": alone} {
 		if _, mixed := g.Version(); mixed {
 			t.Errorf("a pass of %s mixed two maps", name)
--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -126,7 +126,7 @@
 		a.logger.Event(elmlog.StoreDown, "call", "list ranks", "error", err)
 		return
 	}
-	views := a.group.Look(ctx, members, false)
+	views, _ := a.group.Look(ctx, members, false)
 	i := slices.IndexFunc(views, func(v elmgroup.View) bool { return v.Name == own.Group })
 	ok := i >= 0
 	var view elmgroup.View
