--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmbelief"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
@@ -96,24 +97,12 @@
 // there. All ranks of a group wait for the own part of the slow one, which it
 // has while it has requests.
 func (d *delivery) move() bool {
-	if !d.route.Resumable || d.splitter.Last() == "" || len(d.flight.Tried()) >= d.route.Attempts {
+	if !d.route.Resumable || d.splitter.Last() == "" || len(d.flight.Tried()) >= d.route.Attempts || !d.atSlowRank() {
 		return false
 	}
 	now := elmclock.Now()
 	members := d.router.follower.Belief().Members(d.service.Name, now)
-	d.router.mutex.Lock()
-	placer := d.router.placer
-	member, found := elmbelief.Member{}, false
-	if placer.IsSlow(d.member) {
-		query := elmplace.Query{Service: d.service, Tried: d.flight.Tried()}
-		var verdict elmplace.Verdict
-		member, verdict = placer.Pick(query, members, now)
-		found = verdict == elmplace.Placed && !placer.IsSlow(member) && placer.Repeat(d.service.Name, now)
-	}
-	if found {
-		placer.Begin(member.ID, now)
-	}
-	d.router.mutex.Unlock()
+	member, found := d.takeOther(members, now)
 	if !found {
 		return false
 	}
@@ -122,6 +111,25 @@
 	return true
 }
 
+func (d *delivery) atSlowRank() bool {
+	d.router.mutex.Lock()
+	defer d.router.mutex.Unlock()
+	return d.router.placer.IsSlow(d.member)
+}
+
+// takeOther takes a place at an endpoint that is not slow, and a repeat.
+func (d *delivery) takeOther(members []elmbelief.Member, now time.Duration) (elmbelief.Member, bool) {
+	d.router.mutex.Lock()
+	defer d.router.mutex.Unlock()
+	placer := d.router.placer
+	member, verdict := placer.Pick(elmplace.Query{Service: d.service, Tried: d.flight.Tried()}, members, now)
+	if verdict != elmplace.Placed || placer.IsSlow(member) || !placer.Repeat(d.service.Name, now) {
+		return member, false
+	}
+	placer.Begin(member.ID, now)
+	return member, true
+}
+
 // write passes a part of the body to the caller, events at once.
 func (d *delivery) write(part []byte, events bool) error {
 	if len(part) == 0 {
