--- a/internal/stand/elmlockstep/callers.go
+++ b/internal/stand/elmlockstep/callers.go
@@ -61,20 +61,20 @@
 	state state
 	late  bool
 	order int
-	// back is when the caller comes back, and until how long its request waits.
+	// back is when the caller comes back, and until is how long its request waits.
 	back  time.Duration
 	until time.Duration
 	rank  int
 	sent  time.Duration
-	// unread is the part of the prompt that was not read yet.
-	prompt   int
-	unread   int
-	events   int
-	done     int
-	admitted bool
-	first    time.Duration
-	last     time.Duration
-	pause    time.Duration
+	// unread is the part of the prompt that was not read yet, events those to come,
+	// and done those that the caller has.
+	prompt int
+	unread int
+	events int
+	done   int
+	first  time.Duration
+	last   time.Duration
+	pause  time.Duration
 }
 
 func (q *request) event(now time.Duration) {
@@ -216,7 +216,7 @@
 // send puts a request into the queue of a rank, which reads a number of tokens
 // before it goes on.
 func (w *world) send(q *request, r, unread int) {
-	q.state, q.rank, q.sent, q.unread, q.admitted = placed, r, w.now, unread, false
+	q.state, q.rank, q.sent, q.unread = placed, r, w.now, unread
 	if q.late && w.settings.Order == Timely {
 		q.order = 1
 	}
--- a/internal/stand/elmlockstep/pass.go
+++ b/internal/stand/elmlockstep/pass.go
@@ -37,7 +37,6 @@
 	for len(r.running) < slots && len(r.queue) > 0 {
 		q := r.queue[0]
 		r.queue = r.queue[1:]
-		q.admitted = true
 		r.running = append(r.running, q)
 	}
 }
