Log how responses are framed and where streams end

The lines of a request now have the framing of the endpoint's response, the bytes received, and the bytes of an incomplete event at its end. Responses are counted by framing. No decision changes.

--- a/internal/forward/elmexchange/response.go
+++ b/internal/forward/elmexchange/response.go
@@ -20,6 +20,27 @@
 	ended    bool
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunked"
+	// FramedByClose means that the body ends when the endpoint closes the connection.
+	FramedByClose Framing = "close"
+)
+
+// Framing returns how the endpoint marks the end of the body.
+func (r *Response) Framing() Framing {
+	switch {
+	case len(r.response.TransferEncoding) > 0:
+		return FramedByChunks
+	case r.response.ContentLength >= 0:
+		return FramedByLength
+	}
+	return FramedByClose
+}
+
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (r *Response) Length() int64 { return r.response.ContentLength }
 
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -62,8 +62,12 @@
 	// firstByte is the time of the first byte sent to the caller, or 0.
 	firstByte time.Duration
 	response  *elmexchange.Response
-	splitter  elmevents.Splitter
-	cause     error
+	// framing is how the last forwarded response marks its end, or "".
+	framing elmexchange.Framing
+	// received is the number of body bytes received in that response.
+	received int
+	splitter elmevents.Splitter
+	cause    error
 }
 
 // deliver runs the lifecycle of an admitted request to its end.
@@ -357,6 +361,9 @@
 	if d.firstByte > 0 {
 		fields = append(fields, "first", d.firstByte-d.began)
 	}
+	if d.framing != "" {
+		fields = append(fields, "framing", d.framing, "bytes", d.received, "partial", len(d.splitter.Pending()))
+	}
 	if d.cause != nil {
 		fields = append(fields, "cause", d.cause.Error())
 	}
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -12,6 +12,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
+	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/platform"
 )
 
@@ -23,6 +24,8 @@
 
 // relay forwards a response to the caller and returns the message for its end.
 func (d *delivery) relay(c elmlifecycle.Relay) elmlifecycle.Message {
+	d.framing, d.received = d.response.Framing(), 0
+	d.router.meter.Count(elmmeter.Responses, "framing", string(d.framing))
 	events := d.route.Kind == elmcatalog.Stream && strings.HasPrefix(d.response.Header.Get("Content-Type"), "text/event-stream")
 	if c.Resumed {
 		d.splitter.DropPending()
@@ -70,6 +73,7 @@
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := d.response.Read(buffer)
+		d.received += n
 		part := buffer[:n]
 		ended := errors.Is(err, io.EOF)
 		if events {
--- a/internal/observe/elmmeter/elmmeter.go
+++ b/internal/observe/elmmeter/elmmeter.go
@@ -22,6 +22,9 @@
 const (
 	// Requests counts callers' requests by outcome.
 	Requests Name = "elmcove_requests_total"
+	// Responses counts the forwarded responses of endpoints by how they mark the end
+	// of their body.
+	Responses Name = "elmcove_responses_total"
 	// Retries counts requests that were sent to another endpoint.
 	Retries Name = "elmcove_retries_total"
 	// FirstByte is a histogram of the time to the first byte of a response, in
