--- /dev/null
+++ b/internal/forward/elmrouter/framing_test.go
@@ -0,0 +1,77 @@
+package elmrouter_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/elmcove/elmcove/platform/stand"
+)
+
+// framingCase is a response whose endpoint does not announce where its body ends, or
+// announces a wrong end.
+type framingCase struct {
+	target    string
+	behaviour stand.Behaviour
+	// want is the body that the caller gets. complete is set if it is framed as
+	// complete.
+	want     string
+	complete bool
+	runs     int
+}
+
+// truncatedStreams are streams that end inside an event.
+var truncatedStreams = map[string]framingCase{
+	"connection closed, not resumable": {target: "/single/a?stream=1", behaviour: stand.CloseInsideEvent, want: wholeStream[:42], runs: 1},
+	"connection closed, resumed":       {target: "/stream/a?stream=1", behaviour: stand.CloseInsideEvent, want: wholeStream, complete: true, runs: 2},
+	"last chunk sent, not resumable":   {target: "/single/a?stream=1", behaviour: stand.EndChunksInsideEvent, want: wholeStream[:42], runs: 1},
+	"last chunk sent, resumed":         {target: "/stream/a?stream=1", behaviour: stand.EndChunksInsideEvent, want: wholeStream, complete: true, runs: 2},
+}
+
+// Guards against a stream that ends inside an event reaching its caller as complete.
+func TestTruncatedStreamIsNotComplete(t *testing.T) {
+	for name, c := range truncatedStreams {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
+
+// unframedResponses are responses that end with their connection.
+var unframedResponses = map[string]framingCase{
+	"complete stream":                       {target: "/single/a?stream=1", behaviour: stand.CloseAfterResponse, want: wholeStream, complete: true, runs: 1},
+	"complete body":                         {target: "/once/a", behaviour: stand.CloseAfterResponse, want: "answer of e0", complete: true, runs: 1},
+	"stream reset between events":           {target: "/single/a?stream=1", behaviour: stand.ResetBetweenEvents, want: wholeStream[:42], runs: 1},
+	"resumable stream reset between events": {target: "/stream/a?stream=1", behaviour: stand.ResetBetweenEvents, want: wholeStream, complete: true, runs: 2},
+	"body reset":                            {target: "/once/a", behaviour: stand.ResetInsideBody, runs: 1},
+	"stream reset inside an event":          {target: "/single/a?stream=1", behaviour: stand.ResetInsideBody, want: wholeStream[:42], runs: 1},
+}
+
+// Guards against a response without length or chunks being forwarded as complete after
+// a reset, or as truncated after its proper end.
+func TestUnframedResponses(t *testing.T) {
+	for name, c := range unframedResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
+
+// check sends the request to two endpoints, of which the first to get it has the
+// behaviour.
+func (c framingCase) check(t *testing.T) {
+	t.Helper()
+	f := newFixture(t, 2, nil)
+	f.endpoints[1].ShareBehaviours(f.endpoints[0])
+	f.endpoints[0].QueueBehaviours(c.behaviour)
+	got := f.call(t.Context(), "POST", c.target, "", nil)
+	body := strings.ReplaceAll(got.body, "of e1", "of e0")
+	if (got.err == nil) != c.complete || body != c.want || c.complete && got.status != http.StatusOK {
+		t.Errorf("status %d, error %v, body %q; want %q; log:\n%s", got.status, got.err, got.body, c.want, f.log)
+	}
+	if n := countRan(f.runs()); n != c.runs {
+		t.Errorf("ran %d times, want %d", n, c.runs)
+	}
+}
