Recognise all line endings of event streams

An event whose lines end with CR, or with different line endings, was held back until the end of its stream: callers got it late. The splitter looked for two literal blank lines only. TestFeed failed for "single carriage returns" and "mixed line endings".

--- a/internal/forward/elmevents/elmevents.go
+++ b/internal/forward/elmevents/elmevents.go
@@ -63,18 +63,36 @@
 // eventEnd returns the length of the first event including its blank line, or 0 if no
 // event is complete.
 func eventEnd(stream []byte) int {
-	end := 0
-	for _, blank := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(stream, []byte(blank)); i >= 0 && (end == 0 || i+len(blank) < end) {
-			end = i + len(blank)
+	for end := 0; end < len(stream); {
+		content, length := firstLine(stream[end:])
+		if length == 0 {
+			return 0
 		}
+		end += length
+		if content == 0 {
+			return end
+		}
+	}
+	return 0
+}
+
+// firstLine returns the lengths of the first line without and with its line ending,
+// which is CR LF, LF or CR. Both are 0 if no line is complete.
+func firstLine(stream []byte) (content, length int) {
+	content = bytes.IndexAny(stream, "\r\n")
+	switch {
+	case content < 0:
+		return 0, 0
+	case bytes.HasPrefix(stream[content:], []byte("\r\n")):
+		return content, content + 2
 	}
-	return end
+	return content, content + 1
 }
 
 // eventID returns the identifier of an event, and whether it has one.
 func eventID(event []byte) (string, bool) {
-	for _, line := range bytes.Split(event, []byte("\n")) {
+	isLineEnding := func(r rune) bool { return r == '\r' || r == '\n' }
+	for _, line := range bytes.FieldsFunc(event, isLineEnding) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value)), true
 		}
--- a/internal/forward/elmevents/elmevents_test.go
+++ b/internal/forward/elmevents/elmevents_test.go
@@ -35,6 +35,9 @@
 		"repeated events are dropped":    {[]string{"id: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"}, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", "3", ""},
 		"events without an identifier":   {[]string{"data: x\n\n: comment\n\n"}, "data: x\n\n: comment\n\n", "", ""},
 		"carriage returns":               {[]string{"id: 7\r\ndata: x\r\n\r\n"}, "id: 7\r\ndata: x\r\n\r\n", "7", ""},
+		"single carriage returns":        {[]string{"id: 7\rdata: x\r\rid: 8\rda"}, "id: 7\rdata: x\r\r", "7", "id: 8\rda"},
+		"mixed line endings":             {[]string{"id: 7\r\ndata: x\r\n\ndata: y\n\r\n"}, "id: 7\r\ndata: x\r\n\ndata: y\n\r\n", "7", ""},
+		"line ending in two parts":       {[]string{"id: 7\r\n\r", "\nid: 8\r", "\ndata: y\r\n\r\n"}, "id: 7\r\n\r\nid: 8\r\ndata: y\r\n\r\n", "8", ""},
 		"identifier that isn't a number": {[]string{"id: x\n\nid: x\n\n"}, "id: x\n\nid: x\n\n", "x", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
