Treat a stream that ends inside an event as truncated

An endpoint may send a stream with neither length nor chunks that ends with its connection. When the endpoint closed the connection in the middle of an event, copyBody took EOF for the end of the stream, sent the bytes of the incomplete event, and the request finished (1405), so net/http sent the last chunk.

Splitter.End decides whether a stream is complete, whatever its framing: a stream that ends inside an event is handled like a reset, so it is resumed at another endpoint where the route allows it, and otherwise the caller's connection ends without the last chunk. The bytes of an incomplete event never reach the caller. Comments after the last event still do.

--- a/internal/forward/elmevents/elmevents.go
+++ b/internal/forward/elmevents/elmevents.go
@@ -6,13 +6,18 @@
 //	var splitter elmevents.Splitter
 //	events := splitter.Feed(bytes)
 //	last := splitter.LastID()
+//	rest, err := splitter.End()
 package elmevents
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
+// ErrTruncated reports a stream that ends inside an event.
+var ErrTruncated = errors.New("stream ended inside an event")
+
 // Splitter buffers bytes until an event is complete. The zero value is ready to use.
 type Splitter struct {
 	pending []byte
@@ -38,6 +43,19 @@
 	}
 }
 
+// End returns the comments after the last event, or ErrTruncated if the stream ends
+// inside an event. However the response is framed, such a stream is incomplete.
+func (s *Splitter) End() ([]byte, error) {
+	for rest := s.pending; len(rest) > 0; {
+		_, length := firstLine(rest)
+		if length == 0 || rest[0] != ':' {
+			return nil, ErrTruncated
+		}
+		rest = rest[length:]
+	}
+	return s.pending, nil
+}
+
 // LastID returns the identifier of the last complete event, or "".
 func (s *Splitter) LastID() string { return s.last }
 
--- a/internal/forward/elmevents/elmevents_test.go
+++ b/internal/forward/elmevents/elmevents_test.go
@@ -1,6 +1,7 @@
 package elmevents_test
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -61,3 +62,32 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// Guards against a stream that ends inside an event passing for complete.
+func TestEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		stream    string
+		rest      string
+		truncated bool
+	}{
+		"no event":                   {stream: ""},
+		"after an event":             {stream: "data: a\n\n"},
+		"after blank lines":          {stream: "data: a\n\n\n\r\n"},
+		"after a comment":            {stream: "data: a\n\n: keep-alive\n", rest: ": keep-alive\n"},
+		"inside a comment":           {stream: "data: a\n\n: keep", truncated: true},
+		"inside a field name":        {stream: "data: a\n\nda", truncated: true},
+		"after a line of an event":   {stream: "data: a\n\nid: 2\n", truncated: true},
+		"inside the first event":     {stream: "data: a", truncated: true},
+		"comment inside an event":    {stream: "data: a\n: keep-alive\n", truncated: true},
+		"before a blank line, by CR": {stream: "data: a\r", truncated: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s elmevents.Splitter
+			s.Feed([]byte(c.stream))
+			rest, err := s.End()
+			if string(rest) != c.rest || errors.Is(err, elmevents.ErrTruncated) != c.truncated {
+				t.Errorf("rest %q, error %v", rest, err)
+			}
+		})
+	}
+}
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -75,20 +75,18 @@
 		n, err := d.response.Read(buffer)
 		d.received += n
 		part := buffer[:n]
-		ended := errors.Is(err, io.EOF)
 		if events {
 			part = d.splitter.Feed(part)
-			if ended {
-				part = append(part, d.splitter.Pending()...)
-			}
 		}
 		if writeErr := d.writePart(part, events); writeErr != nil {
 			return writeErr
 		}
-		if ended {
+		switch {
+		case errors.Is(err, io.EOF) && events:
+			return d.endStream()
+		case errors.Is(err, io.EOF):
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 		if events && d.migrateStream() {
@@ -97,6 +95,16 @@
 	}
 }
 
+// endStream forwards the comments after the last event, or returns an error if the
+// stream ended inside an event.
+func (d *delivery) endStream() error {
+	rest, err := d.splitter.End()
+	if err != nil {
+		return err
+	}
+	return d.writePart(rest, true)
+}
+
 // migrateStream reserves a slot at another endpoint for a stream at a slow rank, if
 // the stream is resumable there. All ranks of a group wait for the slow rank's own
 // share of a pass, which it has only while it has requests.
