Check every event stream for its end, whatever its route

A stream on a route of another kind, or with capitals in its media type, still reached its caller as complete when it ended inside an event, and was not flushed event by event.

--- a/internal/forward/elmevents/elmevents.go
+++ b/internal/forward/elmevents/elmevents.go
@@ -13,11 +13,21 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"strings"
 )
 
 // ErrTruncated reports a stream that ends inside an event.
 var ErrTruncated = errors.New("stream ended inside an event")
 
+// mediaType is the media type of event streams.
+const mediaType = "text/event-stream"
+
+// IsStream reports whether a Content-Type header names an event stream.
+func IsStream(contentType string) bool {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(name), mediaType)
+}
+
 // Splitter buffers bytes until an event is complete. The zero value is ready to use.
 type Splitter struct {
 	pending []byte
--- a/internal/forward/elmrouter/framing_test.go
+++ b/internal/forward/elmrouter/framing_test.go
@@ -25,6 +25,8 @@
 	"connection closed, not resumable": {target: "/single/a?stream=1", behaviour: stand.CloseInsideEvent, want: wholeStream[:42], runs: 1},
 	"connection closed, resumed":       {target: "/stream/a?stream=1", behaviour: stand.CloseInsideEvent, want: wholeStream, complete: true, runs: 2},
 	"last chunk sent, not resumable":   {target: "/single/a?stream=1", behaviour: stand.EndChunksInsideEvent, want: wholeStream[:42], runs: 1},
+	"media type with capitals":         {target: "/single/a?stream=1&media=Text/Event-Stream%3Bcharset=utf-8", behaviour: stand.CloseInsideEvent, want: wholeStream[:42], runs: 1},
+	"stream on an idempotent route":    {target: "/again/a?stream=1", behaviour: stand.CloseInsideEvent, want: wholeStream[:42], runs: 1},
 	"last chunk sent, resumed":         {target: "/stream/a?stream=1", behaviour: stand.EndChunksInsideEvent, want: wholeStream, complete: true, runs: 2},
 }
 
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -4,10 +4,9 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
+	"github.com/elmcove/elmcove/internal/forward/elmevents"
 	"github.com/elmcove/elmcove/internal/forward/elmlifecycle"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
@@ -26,7 +25,7 @@
 func (d *delivery) relay(c elmlifecycle.Relay) elmlifecycle.Message {
 	d.framing, d.received = d.response.Framing(), 0
 	d.router.meter.Count(elmmeter.Responses, "framing", string(d.framing))
-	events := d.route.Kind == elmcatalog.Stream && strings.HasPrefix(d.response.Header.Get("Content-Type"), "text/event-stream")
+	events := elmevents.IsStream(d.response.Header.Get("Content-Type"))
 	if c.Resumed {
 		d.splitter.DropPending()
 	} else {
