Reset the connection of an aborted response to HTTP/1.0 callers

A response to an HTTP/1.0 request has no chunks, and net/http closes the connection after ErrAbortHandler, so the caller took a truncated response for complete, at the router and at the entry of the project's own interface.

TestTruncatedStreamOverHTTP10 (router) and TestEngineBreaksOffOverHTTP10 (entry and agent processes) failed with a nil error at the caller and pass now. elmabort.Handler resets the connection, which the caller sees as an error; HTTP/1.1 callers still miss the last chunk.

--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -33,6 +33,7 @@
 	"github.com/elmcove/elmcove/internal/registry/elmroster"
 	"github.com/elmcove/elmcove/internal/registry/elmstore"
 	"github.com/elmcove/elmcove/internal/route/elmpicker"
+	"github.com/elmcove/elmcove/internal/wire/elmabort"
 	"github.com/elmcove/elmcove/internal/wire/elmkeys"
 	"github.com/elmcove/elmcove/internal/wire/elmlink"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
@@ -141,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: elmabort.Handler(handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Event(elmlog.Failed, "error", err)
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -32,6 +32,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/wire/elmabort"
 	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 	"github.com/elmcove/elmcove/platform"
 )
@@ -204,7 +205,7 @@
 		return idleTimeout
 	})
 	return &http.Server{
-		Handler:           http.HandlerFunc(r.serve),
+		Handler:           elmabort.Handler(http.HandlerFunc(r.serve)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       0,
 		MaxHeaderBytes:    headerBytes,
--- a/internal/forward/elmrouter/framing_test.go
+++ b/internal/forward/elmrouter/framing_test.go
@@ -1,6 +1,9 @@
 package elmrouter_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -77,3 +80,28 @@
 		t.Errorf("ran %d times, want %d", n, c.runs)
 	}
 }
+
+// Guards against a truncated stream reaching an HTTP/1.0 caller as complete, for whom
+// the end of the connection is the end of the response.
+func TestTruncatedStreamOverHTTP10(t *testing.T) {
+	for name, c := range map[string]framingCase{
+		"truncated": {behaviour: stand.CloseInsideEvent, want: wholeStream[:42]},
+		"complete":  {behaviour: stand.CloseAfterResponse, want: wholeStream, complete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1, nil)
+			f.next(c.behaviour)
+			conn, err := net.Dial("tcp", f.settings.Callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close() //nolint:errcheck // The response has been read.
+			_, _ = fmt.Fprintf(conn, "GET /single/a?stream=1 HTTP/1.0\r\nHost: %s\r\nAttempt-Id: attempt-1\r\nCredential: %s\r\n\r\n", host, credential)
+			response, err := io.ReadAll(conn)
+			if (err == nil) != c.complete || !strings.HasSuffix(string(response), "\r\n\r\n"+c.want) {
+				t.Errorf("error %v, response %q", err, response)
+			}
+		})
+	}
+}
--- a/internal/stand/elmlocal/elmlocal_test.go
+++ b/internal/stand/elmlocal/elmlocal_test.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -178,6 +181,28 @@
 	}
 }
 
+// TestEngineBreaksOffOverHTTP10 guards against a truncated stream that an HTTP/1.0
+// caller takes for complete, because the end of the connection ends the response.
+func TestEngineBreaksOffOverHTTP10(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	if err := f.site.BreakNext(f.ctx, "draft"); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.entry(1), "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // The response has been read.
+	body := `{"model":"draft","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"cracked frame"}]}`
+	_, _ = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.0\r\nHost: entry\r\nAuthorization: Bearer curb-secret\r\n"+
+		"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	response, err := io.ReadAll(conn)
+	if err == nil || !strings.Contains(string(response), "HTTP/1.0 200") {
+		t.Errorf("a truncated answer looks complete: error %v, response %q", err, response)
+	}
+}
+
 // TestAgentsKilledDuringStream guards against a truncated stream that looks
 // complete when all agents are killed.
 func TestAgentsKilledDuringStream(t *testing.T) {
