Treat engine streams that end early as truncated in the agent

When an engine's response has neither length nor chunks and its connection is closed, the agent sent an End frame, the entry sent the last chunk, and a keyed request was recorded as done.

TestEngineBreaksOff now has four endings. "connection closed inside event" and "connection closed between events" failed: the caller had a nil error, and the bytes of half an event. The agent now forwards complete events only, so that the entry's error event can't be read as part of a broken one, and reports a failed endpoint when a stream ends inside an event, or when a completion ends without "data: [DONE]".

The stand-ins for engines and services end responses in these ways (elmbody). elmevents moves to internal/wire, since both sides use it.

--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/observe/elmtrace"
+	"github.com/elmcove/elmcove/internal/wire/elmevents"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -33,7 +34,10 @@
 	idleConns          = 64
 	loadPath           = "/load"
 	loadTimeout        = 200 * time.Millisecond
-	eventStream        = "text/event-stream"
+	// completionPath is the path of the model engine's completions. Their streams end
+	// with an event whose data is endMark.
+	completionPath = "/v1/chat/completions"
+	endMark        = "[DONE]"
 )
 
 var (
@@ -101,8 +105,9 @@
 		return Reply{}, fmt.Errorf("%w: %s", ErrRefused, response.Status)
 	}
 	reply := Reply{Status: uint32(response.StatusCode), Media: response.Header.Get("Content-Type")}
-	if strings.HasPrefix(reply.Media, eventStream) {
-		return c.forwardStream(reply, response.Body, sink)
+	if elmevents.IsStream(reply.Media) {
+		marked := open.GetPath() == completionPath && response.StatusCode == http.StatusOK
+		return c.forwardStream(reply, response.Body, sink, marked)
 	}
 	return c.forwardComplete(reply, response.Body, sink)
 }
@@ -155,25 +160,31 @@
 	return response, nil
 }
 
-func (c *Client) forwardStream(reply Reply, body io.Reader, sink Sink) (Reply, error) {
+// forwardStream forwards complete events only. With marked set, a stream without the
+// end mark is incomplete.
+func (c *Client) forwardStream(reply Reply, body io.Reader, sink Sink, marked bool) (Reply, error) {
 	if err := sink.Head(&elmwire.Head{Status: reply.Status, Media: reply.Media}); err != nil {
 		return reply, err
 	}
 	buffer := make([]byte, chunkBytes)
 	var last time.Time
+	var splitter elmevents.Splitter
+	markSeen := false
 	for {
 		n, readErr := body.Read(buffer)
-		if n > 0 {
+		events := splitter.Split(buffer[:n])
+		if len(events) > 0 {
 			now := time.Now()
 			step := elapsedSince(last, now)
 			last = now
-			reply.Body = appendPrefix(reply.Body, buffer[:n])
-			if err := sink.Data(bytes.Clone(buffer[:n]), step); err != nil {
+			markSeen = markSeen || hasEndMark(events)
+			reply.Body = appendPrefix(reply.Body, events)
+			if err := sink.Data(events, step); err != nil {
 				return reply, err
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
-			return reply, nil
+			return reply, streamEnd(&splitter, marked && !markSeen)
 		}
 		if readErr != nil {
 			return reply, fmt.Errorf("%w: %w", ErrEndpoint, readErr)
@@ -181,6 +192,29 @@
 	}
 }
 
+// streamEnd returns an error if a stream that has ended is incomplete.
+func streamEnd(splitter *elmevents.Splitter, markMissing bool) error {
+	if _, err := splitter.End(); err != nil {
+		return fmt.Errorf("%w: %w", ErrEndpoint, err)
+	}
+	if markMissing {
+		return fmt.Errorf("%w: stream ended without %s", ErrEndpoint, endMark)
+	}
+	return nil
+}
+
+// hasEndMark reports whether one of the events is the end mark.
+func hasEndMark(events []byte) bool {
+	isLineEnding := func(r rune) bool { return r == '\r' || r == '\n' }
+	for _, line := range bytes.FieldsFunc(events, isLineEnding) {
+		data, ok := bytes.CutPrefix(line, []byte("data:"))
+		if ok && string(bytes.TrimSpace(data)) == endMark {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Client) forwardComplete(reply Reply, body io.Reader, sink Sink) (Reply, error) {
 	data, err := io.ReadAll(body)
 	if err != nil {
--- a/internal/entry/elmentry/answer.go
+++ b/internal/entry/elmentry/answer.go
@@ -2,13 +2,13 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/entry/elmrequest"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/wire/elmapi"
+	"github.com/elmcove/elmcove/internal/wire/elmevents"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -51,7 +51,7 @@
 		x.refuse(p)
 		return
 	}
-	if strings.HasPrefix(x.head.Media, eventStream) {
+	if elmevents.IsStream(x.head.Media) {
 		_, _ = x.w.Write([]byte(errorEvent)) // Fails if the caller has disconnected.
 		_ = http.NewResponseController(x.w).Flush()
 	}
--- a/internal/entry/elmentry/exchange.go
+++ b/internal/entry/elmentry/exchange.go
@@ -21,7 +21,6 @@
 const (
 	requestsMetric = elmmeter.Requests
 	writeTimeout   = 30 * time.Second
-	eventStream    = "text/event-stream"
 	errorEvent     = "event: error\ndata: {\"error\":{\"message\":\"the answer broke off\",\"type\":\"incomplete\"}}\n\n"
 )
 
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
-	"github.com/elmcove/elmcove/internal/forward/elmevents"
 	"github.com/elmcove/elmcove/internal/forward/elmexchange"
 	"github.com/elmcove/elmcove/internal/forward/elmlifecycle"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
@@ -17,6 +16,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/wire/elmevents"
 	"github.com/elmcove/elmcove/platform"
 )
 
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -6,12 +6,12 @@
 	"net/http"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/forward/elmevents"
 	"github.com/elmcove/elmcove/internal/forward/elmlifecycle"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
+	"github.com/elmcove/elmcove/internal/wire/elmevents"
 	"github.com/elmcove/elmcove/platform"
 )
 
--- a/internal/stand/elmengine/elmengine.go
+++ b/internal/stand/elmengine/elmengine.go
@@ -15,6 +15,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/elmcove/elmcove/internal/stand/elmbody"
 )
 
 const (
@@ -27,6 +29,8 @@
 	coldFactor = 3
 	// reportInterval is the minimum time between two load measurements.
 	reportInterval = 300 * time.Millisecond
+	// breakAfter is the number of tokens before a response breaks off.
+	breakAfter = 3
 )
 
 // Settings describes an engine.
@@ -63,9 +67,10 @@
 	counts   Counts
 	running  int
 	steps    int
-	breaks   int
-	report   Load
-	next     Load
+	// ending is how the next response ends, or "".
+	ending elmbody.Ending
+	report Load
+	next   Load
 }
 
 // Load is a load report. It is at least one reportInterval old when published.
@@ -87,7 +92,9 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.handleCompletion)
 	mux.HandleFunc("GET /load", e.handleLoad)
 	mux.HandleFunc("POST /control/cold", func(http.ResponseWriter, *http.Request) { e.ResetToCold() })
-	mux.HandleFunc("POST /control/break", func(http.ResponseWriter, *http.Request) { e.BreakNext() })
+	mux.HandleFunc("POST /control/break", func(_ http.ResponseWriter, r *http.Request) {
+		e.BreakNext(elmbody.Ending(r.URL.Query().Get("ending")))
+	})
 	mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(e.Counts()) // The caller may have disconnected.
 	})
@@ -101,11 +108,12 @@
 	e.steps = 0
 }
 
-// BreakNext makes the engine abort the next response after a few tokens.
-func (e *Engine) BreakNext() {
+// BreakNext sets how the next response ends. All endings but Closed come after a few
+// tokens.
+func (e *Engine) BreakNext(ending elmbody.Ending) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.breaks++
+	e.ending = ending
 }
 
 // Counts returns the counts so far.
@@ -148,22 +156,44 @@
 	}
 	defer e.release()
 	w.Header().Set("Content-Type", "text/event-stream")
-	breakAt := e.takeBreak()
-	controller := http.NewResponseController(w)
+	ending := e.nextEnding()
+	b := newBody(w, ending)
 	for i := range request.MaxTokens {
 		if !e.step(r) {
 			return
 		}
-		if i == breakAt {
-			panic(http.ErrAbortHandler)
+		if i == breakAfter && ending != "" && ending != elmbody.Closed {
+			breakOff(b, ending)
+			return
 		}
-		fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w%d \"}}]}\n\n", i)
-		_ = controller.Flush() // A broken connection cancels the request's context.
+		fmt.Fprintf(b, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w%d \"}}]}\n\n", i)
+		b.Flush()
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	fmt.Fprint(b, "data: [DONE]\n\n")
+	b.Close()
 	e.count(func(c *Counts) { c.Finished++ })
 }
 
+func newBody(w http.ResponseWriter, ending elmbody.Ending) *elmbody.Body {
+	if ending == "" || ending == elmbody.Aborted {
+		return elmbody.New(w)
+	}
+	return elmbody.NewUnframed(w)
+}
+
+// breakOff ends a stream before it is complete.
+func breakOff(b *elmbody.Body, ending elmbody.Ending) {
+	switch ending {
+	case elmbody.ClosedInsideEvent:
+		fmt.Fprint(b, "data: {\"cho")
+		b.Close()
+	case elmbody.ClosedBetweenEvents:
+		b.Close()
+	default:
+		b.Abort()
+	}
+}
+
 // step waits for one decoding step and counts its token. It returns false if the
 // caller cancels the request.
 func (e *Engine) step(r *http.Request) bool {
@@ -218,15 +248,13 @@
 	return step
 }
 
-// takeBreak returns the index of the token at which to abort the response, or -1.
-func (e *Engine) takeBreak() int {
+// nextEnding removes and returns how the next response ends, or "".
+func (e *Engine) nextEnding() elmbody.Ending {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.breaks == 0 {
-		return -1
-	}
-	e.breaks--
-	return 3
+	next := e.ending
+	e.ending = ""
+	return next
 }
 
 func (e *Engine) count(change func(*Counts)) {
--- a/internal/stand/elmlocal/elmlocal_test.go
+++ b/internal/stand/elmlocal/elmlocal_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/stand/elmbody"
 	"github.com/elmcove/elmcove/internal/stand/elmclient"
 )
 
@@ -154,13 +156,13 @@
 func TestServiceLosesReply(t *testing.T) {
 	t.Parallel()
 	f := start(t)
-	if err := f.site.BreakNext(f.ctx, "dispatch"); err != nil {
+	if err := f.site.BreakNext(f.ctx, "dispatch", elmbody.Aborted); err != nil {
 		t.Fatal(err)
 	}
 	key := newKey()
 	f.wantOutcome(f.order(1, key, settleTime), "unknown")
 	f.wantExecutions(key, 1, 1)
-	if err := f.site.BreakNext(f.ctx, "dispatch"); err != nil {
+	if err := f.site.BreakNext(f.ctx, "dispatch", elmbody.Aborted); err != nil {
 		t.Fatal(err)
 	}
 	f.wantOutcome(f.order(1, "", settleTime), "unknown")
@@ -168,17 +170,50 @@
 }
 
 // TestEngineBreaksOff guards against a truncated stream that looks complete when
-// the engine aborts its response.
+// the engine's response ends early.
 func TestEngineBreaksOff(t *testing.T) {
 	t.Parallel()
 	f := start(t)
-	if err := f.site.BreakNext(f.ctx, "draft"); err != nil {
+	for name, ending := range map[string]elmbody.Ending{
+		"response aborted":                 elmbody.Aborted,
+		"connection closed inside event":   elmbody.ClosedInsideEvent,
+		"connection closed between events": elmbody.ClosedBetweenEvents,
+		"connection reset":                 elmbody.Reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := f.site.BreakNext(f.ctx, "draft", ending); err != nil {
+				t.Fatal(err)
+			}
+			a := f.client.StreamCompletion(f.ctx, f.entry(1), tokens)
+			if a.Err == nil || a.LooksComplete() || !strings.Contains(a.Body, "\n\nevent: error\n") {
+				t.Errorf("a truncated answer looks complete: %d %s %v", a.Status, a.Body, a.Err)
+			}
+		})
+	}
+}
+
+// TestResponsesThatEndWithTheirConnection guards against a complete response without
+// length or chunks being taken for truncated, and a reset one for complete.
+func TestResponsesThatEndWithTheirConnection(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	if err := errors.Join(f.site.BreakNext(f.ctx, "draft", elmbody.Closed), f.site.BreakNext(f.ctx, "dispatch", elmbody.Closed)); err != nil {
 		t.Fatal(err)
 	}
-	a := f.client.StreamCompletion(f.ctx, f.entry(1), tokens)
-	if a.LooksComplete() || !strings.Contains(a.Body, "event: error") {
-		t.Errorf("a truncated answer looks complete: %d %s %v", a.Status, a.Body, a.Err)
+	if a := f.client.StreamCompletion(f.ctx, f.entry(1), tokens); !a.Complete(tokens) {
+		t.Errorf("the stream is not complete: %d %s %v", a.Status, a.Body, a.Err)
 	}
+	key := newKey()
+	if a := f.order(1, key, settleTime); a.Status != 200 || !strings.HasSuffix(a.Body, "}\n") {
+		t.Errorf("the order got status %d: %s", a.Status, a.Body)
+	}
+	f.wantExecutions(key, 1, 1)
+	if err := f.site.BreakNext(f.ctx, "dispatch", elmbody.Reset); err != nil {
+		t.Fatal(err)
+	}
+	key = newKey()
+	f.wantOutcome(f.order(2, key, settleTime), "unknown")
+	f.wantExecutions(key, 1, 1)
 }
 
 // TestEngineBreaksOffOverHTTP10 guards against a truncated stream that an HTTP/1.0
@@ -186,7 +221,7 @@
 func TestEngineBreaksOffOverHTTP10(t *testing.T) {
 	t.Parallel()
 	f := start(t)
-	if err := f.site.BreakNext(f.ctx, "draft"); err != nil {
+	if err := f.site.BreakNext(f.ctx, "draft", elmbody.Aborted); err != nil {
 		t.Fatal(err)
 	}
 	conn, err := net.Dial("tcp", strings.TrimPrefix(f.entry(1), "http://"))
--- a/internal/stand/elmlocal/observe.go
+++ b/internal/stand/elmlocal/observe.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/elmcove/elmcove/internal/stand/elmbody"
 	"github.com/elmcove/elmcove/internal/stand/elmengine"
 	"github.com/elmcove/elmcove/internal/stand/elmplatform"
 )
@@ -57,13 +58,13 @@
 	return counts
 }
 
-// BreakNext makes each endpoint of a service abort its next response.
-func (s *Site) BreakNext(ctx context.Context, service string) error {
+// BreakNext sets how the next response of each endpoint of a service ends.
+func (s *Site) BreakNext(ctx context.Context, service string, ending elmbody.Ending) error {
 	for _, e := range s.Endpoints {
 		if e.Service != service {
 			continue
 		}
-		if err := s.control(ctx, http.MethodPost, e.URL+"/control/break", nil); err != nil {
+		if err := s.control(ctx, http.MethodPost, e.URL+"/control/break?ending="+string(ending), nil); err != nil {
 			return err
 		}
 	}
--- a/internal/stand/elmservice/elmservice.go
+++ b/internal/stand/elmservice/elmservice.go
@@ -17,6 +17,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/elmcove/elmcove/internal/stand/elmbody"
 )
 
 // KeyHeader is the header in which agents forward the idempotency key.
@@ -27,7 +29,8 @@
 	delay      time.Duration
 	mutex      sync.Mutex
 	executions map[string]int
-	breaks     int
+	// ending is how the response to the next call ends, or "".
+	ending elmbody.Ending
 }
 
 // New returns a service whose calls take the given time.
@@ -40,18 +43,20 @@
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.handleCall)
-	mux.HandleFunc("POST /control/break", func(http.ResponseWriter, *http.Request) { s.BreakNext() })
+	mux.HandleFunc("POST /control/break", func(_ http.ResponseWriter, r *http.Request) {
+		s.BreakNext(elmbody.Ending(r.URL.Query().Get("ending")))
+	})
 	mux.HandleFunc("GET /control/executions", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(s.Executions()) // The caller may have disconnected.
 	})
 	return mux
 }
 
-// BreakNext makes the next call take effect and then lose its response.
-func (s *Service) BreakNext() {
+// BreakNext sets how the response to the next call ends, after the call took effect.
+func (s *Service) BreakNext(ending elmbody.Ending) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.breaks++
+	s.ending = ending
 }
 
 // Executions returns the number of executions by idempotency key.
@@ -63,24 +68,32 @@
 
 func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // The service ignores the body.
-	number, aborted := s.execute(r.Header.Get(KeyHeader))
-	if aborted {
+	number, ending := s.execute(r.Header.Get(KeyHeader))
+	if ending == elmbody.Aborted {
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(s.delay)
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, "{\"filed\":%d}\n", number)
+	b := elmbody.New(w)
+	if ending != "" {
+		b = elmbody.NewUnframed(w)
+	}
+	fmt.Fprint(b, "{\"filed\":")
+	if ending == elmbody.Reset {
+		b.Abort()
+		return
+	}
+	fmt.Fprintf(b, "%d}\n", number)
+	b.Close()
 }
 
-// execute counts an execution. It returns the number of the order, and whether to
-// abort the response.
-func (s *Service) execute(key string) (number int, aborted bool) {
+// execute counts an execution. It returns the number of the order, and how the
+// response ends, or "".
+func (s *Service) execute(key string) (number int, ending elmbody.Ending) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.executions[key]++
-	if s.breaks > 0 {
-		s.breaks--
-		return 0, true
-	}
-	return len(s.executions), false
+	ending = s.ending
+	s.ending = ""
+	return len(s.executions), ending
 }
--- a/internal/forward/elmevents/elmevents.go
+++ b/internal/wire/elmevents/elmevents.go
@@ -34,23 +34,30 @@
 	last    string
 }
 
-// Feed adds the next bytes of the stream and returns the events that are now complete.
-// It drops events whose numeric identifier is not above that of the last event, because
-// the caller has received these already.
-func (s *Splitter) Feed(part []byte) []byte {
+// Split adds the next bytes of the stream and returns the events that are now complete.
+func (s *Splitter) Split(part []byte) []byte {
 	s.pending = append(s.pending, part...)
-	var complete []byte
-	for {
-		end := eventEnd(s.pending)
-		if end == 0 {
-			return complete
-		}
-		event := s.pending[:end]
-		if id, ok := eventID(event); !ok || s.advance(id) {
-			complete = append(complete, event...)
+	complete := 0
+	for end := eventEnd(s.pending); end > 0; end = eventEnd(s.pending[complete:]) {
+		complete += end
+	}
+	events := s.pending[:complete]
+	s.pending = bytes.Clone(s.pending[complete:])
+	return events
+}
+
+// Feed is like Split, but it drops events whose numeric identifier is not above that of
+// the last event, because the caller has received these already.
+func (s *Splitter) Feed(part []byte) []byte {
+	events := s.Split(part)
+	var kept []byte
+	for end := eventEnd(events); end > 0; end = eventEnd(events) {
+		if id, ok := eventID(events[:end]); !ok || s.advance(id) {
+			kept = append(kept, events[:end]...)
 		}
-		s.pending = append([]byte(nil), s.pending[end:]...)
+		events = events[end:]
 	}
+	return kept
 }
 
 // End returns the comments after the last event, or ErrTruncated if the stream ends
--- a/internal/forward/elmevents/elmevents_test.go
+++ b/internal/wire/elmevents/elmevents_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/elmcove/elmcove/internal/forward/elmevents"
+	"github.com/elmcove/elmcove/internal/wire/elmevents"
 )
 
 const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
