--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -142,7 +142,8 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: elmabort.Handler(handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	elmabort.Protect(server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Event(elmlog.Failed, "error", err)
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -204,8 +204,8 @@
 		}
 		return idleTimeout
 	})
-	return &http.Server{
-		Handler:           elmabort.Handler(http.HandlerFunc(r.serve)),
+	server := &http.Server{
+		Handler:           http.HandlerFunc(r.serve),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       0,
 		MaxHeaderBytes:    headerBytes,
@@ -213,6 +213,8 @@
 		BaseContext:       func(net.Listener) context.Context { return base },
 		ErrorLog:          r.logger.Standard(),
 	}
+	elmabort.Protect(server)
+	return server
 }
 
 // auxiliaryServer returns a server for probes, control requests or metrics.
--- a/internal/wire/elmabort/elmabort.go
+++ b/internal/wire/elmabort/elmabort.go
@@ -1,46 +1,42 @@
 // Package elmabort makes aborted responses detectable for HTTP/1.0 callers.
 //
 // The end of the connection ends a response to an HTTP/1.0 request. When a handler
-// panics with http.ErrAbortHandler, net/http closes the connection, which such a
-// caller takes for the end of a complete response. The handler of this package resets
-// the connection instead.
+// panics with http.ErrAbortHandler, or when the process is killed, the connection is
+// closed, which such a caller takes for the end of a complete response. With Protect
+// the connection is reset instead.
 //
 // # Usage
 //
-//	server := &http.Server{Handler: elmabort.Handler(mux)}
+//	server := &http.Server{Handler: mux}
+//	elmabort.Protect(server)
 package elmabort
 
 import (
+	"context"
 	"net"
 	"net/http"
 )
 
-// Handler returns a handler that calls next. If next panics while it serves an
-// HTTP/1.0 request, the handler resets the connection before it panics on.
-func Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ProtoAtLeast(1, 1) {
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// Protect changes a server so that the connection of an HTTP/1.0 request is reset
+// unless its handler returns.
+func Protect(server *http.Server) {
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+		if !ok || r.ProtoAtLeast(1, 1) {
 			next.ServeHTTP(w, r)
 			return
 		}
-		defer func() {
-			if cause := recover(); cause != nil {
-				reset(w)
-				panic(cause)
-			}
-		}()
+		_ = conn.SetLinger(0) // Fails only on a closed connection.
 		next.ServeHTTP(w, r)
+		// The complete response must have left before a close counts as its end.
+		_ = http.NewResponseController(w).Flush()
+		_ = conn.SetLinger(-1)
 	})
 }
-
-// reset resets the connection of a response.
-func reset(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return // The server closes the connection.
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // Close sends a reset then.
-	}
-	_ = conn.Close()
-}
--- a/internal/wire/elmabort/elmabort_test.go
+++ b/internal/wire/elmabort/elmabort_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against an aborted response reaching an HTTP/1.0 caller as complete.
-func TestHandler(t *testing.T) {
+func TestProtect(t *testing.T) {
 	for name, c := range map[string]struct {
 		aborted bool
 		length  string
@@ -23,7 +23,7 @@
 		"complete with a length": {length: "4"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(elmabort.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if c.length != "" {
 					w.Header().Set("Content-Length", c.length)
 				}
@@ -32,7 +32,9 @@
 				if c.aborted {
 					panic(http.ErrAbortHandler)
 				}
-			})))
+			}))
+			elmabort.Protect(server.Config)
+			server.Start()
 			defer server.Close()
 			conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
 			if err != nil {
