--- a/internal/expert/elmrankagent/handler.go
+++ b/internal/expert/elmrankagent/handler.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
 
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/platform"
 )
 
@@ -30,18 +32,22 @@
 
 // forward forwards a request to the rank and returns the rank's answer.
 func (a *Agent) forward(w http.ResponseWriter, r *http.Request) {
-	var body io.Reader = http.MaxBytesReader(w, r.Body, maxOrderBytes)
+	var body io.Reader = http.MaxBytesReader(w, r.Body, maxOrderBytes+1)
 	if r.Header.Get("Content-Encoding") == "gzip" {
 		decompressed, err := gzip.NewReader(body)
 		if err != nil {
 			http.Error(w, "body can't be decompressed", http.StatusBadRequest)
 			return
 		}
-		body = io.LimitReader(decompressed, maxOrderBytes)
+		body = decompressed
 	}
 	rank := a.ranks
 	if r.Method == http.MethodPost {
-		order, err := io.ReadAll(body) // The planner's link may take longer than orderTimeout.
+		order, err := elmbounded.ReadAll(body, maxOrderBytes) // The planner's link may take longer than orderTimeout.
+		if errors.Is(err, elmbounded.ErrTooLong) {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
 		if err != nil {
 			http.Error(w, "order can't be read", http.StatusBadRequest)
 			return
--- /dev/null
+++ b/internal/wire/elmbounded/elmbounded.go
@@ -0,0 +1,28 @@
+// Package elmbounded reads bodies up to a limit. A body beyond the limit is an error,
+// never a shorter body.
+//
+// # Usage
+//
+//	document, err := elmbounded.ReadAll(response.Body, 1<<20)
+package elmbounded
+
+import (
+	"errors"
+	"fmt"
+	"io"
+)
+
+// ErrTooLong reports a body beyond the limit.
+var ErrTooLong = errors.New("body is too long")
+
+// ReadAll reads a body of at most limit bytes.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	document, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if int64(len(document)) > limit {
+		return nil, fmt.Errorf("%w: limit is %d bytes", ErrTooLong, limit)
+	}
+	return document, nil
+}
