--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -16,7 +16,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -26,6 +25,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 )
 
@@ -179,9 +179,16 @@
 		return nil, fmt.Errorf("%w: %w", ErrPeers, err)
 	}
 	defer response.Body.Close() //nolint:errcheck // The body has been read.
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshotBytes))
-	if err != nil || response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w: status %d: %w", ErrPeers, response.StatusCode, err)
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", ErrPeers, response.StatusCode)
+	}
+	// A message that is cut after a field decodes as a shorter one.
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return nil, fmt.Errorf("%w: snapshot has neither length nor chunks", ErrPeers)
+	}
+	body, err := elmbounded.ReadAll(response.Body, maxSnapshotBytes)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrPeers, err)
 	}
 	s := &elmpeer.Snapshot{}
 	if err := proto.Unmarshal(body, s); err != nil {
