Give test sites fixed ports outside the ephemeral range

Each site and fixture has a loopback address of its own, so ports below the ephemeral range (32768) need no probe.

TestHeldGroup read the log right after the release of the group, but the agent logs the repair after the rank has answered.

--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -189,9 +189,10 @@
 		t.Fatal("the group is not held")
 	}
 	c.eventually(t, "released", func() bool { return c.group.RunPass() })
-	if !strings.Contains(c.logs.String(), "released a group that a previous planner had held") {
-		t.Error("the log has no line about the repair")
-	}
+	// The agent logs the repair after the rank has answered its last order.
+	c.eventually(t, "logged", func() bool {
+		return strings.Contains(c.logs.String(), "released a group that a previous planner had held")
+	})
 }
 
 // TestOrdersWithoutAnswer checks that a rollout succeeds although ranks leave a third
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -81,24 +80,20 @@
 // fixtures counts the fixtures of this process.
 var fixtures atomic.Uint32
 
-// loopback returns an IP address that only one fixture uses. Outgoing connections
-// use 127.0.0.1, so none of them occupies a port of this address.
+// Ports of a fixture, outside the range from which the kernel takes ephemeral ports.
+const (
+	callerPort = 21000 + iota
+	readinessPort
+	peerPort
+)
+
+// loopback returns an IP address that only one fixture uses, so that its ports are
+// free.
 func loopback() string {
 	process := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 100+process/250%100, 1+process%250, 1+fixtures.Add(1)%250)
 }
 
-// freeAddress returns an address with a free port of ip.
-func freeAddress(t *testing.T, ip string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close() //nolint:errcheck // Only the address is needed.
-	return listener.Addr().String()
-}
-
 // newFixture starts a router with n endpoints and waits until it is ready.
 func newFixture(t *testing.T, n int, change func(*platform.Settings)) *fixture {
 	t.Helper()
@@ -110,12 +105,9 @@
 	}
 	f.store.Put("op/config", configuration(1, credential))
 	ip := loopback()
-	_, port, _ := net.SplitHostPort(freeAddress(t, ip))
-	number := 0
-	_, _ = fmt.Sscan(port, &number)
 	f.settings = platform.Settings{
-		Instance: "entry-1", Datacentre: "home", IP: ip, Ports: []int{number},
-		Callers: freeAddress(t, ip), Readiness: freeAddress(t, ip), Store: strings.TrimPrefix(storeServer.URL, "http://"),
+		Instance: "entry-1", Datacentre: "home", IP: ip, Ports: []int{peerPort},
+		Callers: fmt.Sprintf("%s:%d", ip, callerPort), Readiness: fmt.Sprintf("%s:%d", ip, readinessPort), Store: strings.TrimPrefix(storeServer.URL, "http://"),
 		Bounds: platform.Bounds{
 			RevokeDelay: 5 * time.Second, Grace: 3 * time.Second, LeaveDelay: 2 * time.Second, WithdrawDelay: 5 * time.Second,
 			RetryRatio: 0.2, RetryBurst: 90, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
--- a/internal/stand/elmlocal/elmlocal.go
+++ b/internal/stand/elmlocal/elmlocal.go
@@ -46,15 +46,15 @@
 
 // Site is a running local site. Its methods find processes by instance name.
 type Site struct {
-	plan            Plan
-	host            string
-	issuedAddresses map[string]bool
-	relays          map[string]*elmudprelay.Relay
-	keys            string
-	instances       []elmkvapi.Instance
-	mutex           sync.Mutex
-	processes       map[string]*exec.Cmd
-	done            map[string]chan struct{}
+	plan        Plan
+	host        string
+	issuedPorts int
+	relays      map[string]*elmudprelay.Relay
+	keys        string
+	instances   []elmkvapi.Instance
+	mutex       sync.Mutex
+	processes   map[string]*exec.Cmd
+	done        map[string]chan struct{}
 
 	// Platform is the URL of the platform stand-in.
 	Platform string
@@ -67,14 +67,13 @@
 // Start starts all processes of a plan. If one fails to start, it stops the rest.
 func Start(ctx context.Context, plan Plan) (*Site, error) {
 	s := &Site{
-		plan:            plan,
-		host:            loopback(os.Getpid(), siteCount.Add(1)),
-		issuedAddresses: map[string]bool{},
-		relays:          map[string]*elmudprelay.Relay{},
-		keys:            filepath.Join(plan.Folder, "keys"),
-		processes:       map[string]*exec.Cmd{},
-		done:            map[string]chan struct{}{},
-		Entries:         map[string]string{},
+		plan:      plan,
+		host:      loopback(os.Getpid(), siteCount.Add(1)),
+		relays:    map[string]*elmudprelay.Relay{},
+		keys:      filepath.Join(plan.Folder, "keys"),
+		processes: map[string]*exec.Cmd{},
+		done:      map[string]chan struct{}{},
+		Entries:   map[string]string{},
 	}
 	if err := elmkeys.Generate(s.keys); err != nil {
 		return nil, err
@@ -208,10 +207,7 @@
 }
 
 func (s *Site) startAll(ctx context.Context) error {
-	platform, err := s.freePort("tcp")
-	if err != nil {
-		return err
-	}
+	platform := s.newAddress()
 	s.Platform = "http://" + platform
 	if err := s.start("platform", "elmstand", "-kind", "platform", "-http", platform); err != nil {
 		return err
@@ -243,10 +239,7 @@
 
 func (s *Site) startEntries() error {
 	for i := range s.plan.Entries {
-		address, err := s.freePort("tcp")
-		if err != nil {
-			return err
-		}
+		address := s.newAddress()
 		name := entryName(i)
 		settings := s.settings(name, i)
 		settings.HTTP = address
--- a/internal/stand/elmlocal/endpoints.go
+++ b/internal/stand/elmlocal/endpoints.go
@@ -38,21 +38,10 @@
 }
 
 func (s *Site) startEndpoint(name, service, kind string, index int) error {
-	endpoint, err := s.freePort("tcp")
-	if err != nil {
-		return err
-	}
-	agentHTTP, err := s.freePort("tcp")
-	if err != nil {
-		return err
-	}
-	link, err := s.freePort("udp")
-	if err != nil {
-		return err
-	}
+	endpoint, agentHTTP, link := s.newAddress(), s.newAddress(), s.newAddress()
 	if shared := s.sharedEndpoint(service); shared != "" {
 		endpoint = shared
-	} else if err = s.startStandIn(name+"-endpoint", kind, endpoint); err != nil {
+	} else if err := s.startStandIn(name+"-endpoint", kind, endpoint); err != nil {
 		return err
 	}
 	settings := s.settings(name, index)
@@ -60,7 +49,8 @@
 	settings.Link = link
 	settings.Service = service
 	settings.Endpoint = "http://" + endpoint
-	if link, err = s.relay(name, link); err != nil {
+	link, err := s.relay(name, link)
+	if err != nil {
 		return err
 	}
 	s.instances = append(s.instances, elmkvapi.Instance{
--- a/internal/stand/elmlocal/ports.go
+++ b/internal/stand/elmlocal/ports.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"sync/atomic"
 )
 
@@ -10,39 +9,18 @@
 var siteCount atomic.Uint32
 
 // loopback returns a loopback address that only the processes of one site
-// listen on. Outgoing connections use the source address 127.0.0.1, so their
-// ephemeral ports can't collide with the site's ports.
+// listen on.
 func loopback(process int, site uint32) string {
 	const values = 250 // per octet
 	return fmt.Sprintf("127.%d.%d.%d", 1+process/values%values, 1+process%values, 1+site%values)
 }
 
-// freePort returns an address on the site's host with a free port. It issues
-// no address twice, since the port may be free until its process has started.
-func (s *Site) freePort(network string) (string, error) {
-	for {
-		address, err := s.probePort(network)
-		if err != nil {
-			return "", fmt.Errorf("%w: %w", ErrLocal, err)
-		}
-		if !s.issuedAddresses[address] {
-			s.issuedAddresses[address] = true
-			return address, nil
-		}
-	}
-}
+// firstPort is the first port of a site. All ports of a site lie below the range from
+// which the kernel takes ephemeral ports, so that no dialer gets one of them.
+const firstPort = 20000
 
-func (s *Site) probePort(network string) (string, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket(network, s.host+":0")
-		if err != nil {
-			return "", err
-		}
-		return conn.LocalAddr().String(), conn.Close()
-	}
-	listener, err := net.Listen(network, s.host+":0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
+// newAddress returns an address on the site's host that no process of the site uses.
+func (s *Site) newAddress() string {
+	s.issuedPorts++
+	return fmt.Sprintf("%s:%d", s.host, firstPort+s.issuedPorts)
 }
