--- a/internal/forward/elmexchange/response.go
+++ b/internal/forward/elmexchange/response.go
@@ -44,7 +44,8 @@
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (r *Response) Length() int64 { return r.response.ContentLength }
 
-// Read reads the body. It returns io.EOF only if the body is complete.
+// Read reads the body. It returns io.EOF at the end that the framing marks. If the body
+// is framed by close, io.EOF means only that the connection was not reset.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
 	r.ended = r.ended || err == io.EOF //nolint:errorlint // Readers return io.EOF itself.
