Keep to what endpoints announce in their responses

New terms of the platform, first part: an endpoint that leaves says so in all its responses (Server-Leaving), and one that rejects with 503 may ask for a pause (Retry-After). platform/ decodes both; elmbackoff keeps them by incarnation, and the placer leaves such endpoints out, also as a last resort, whatever the store says. After a pause one request at a time tests the endpoint. While all pause, callers are refused at once, and Retry-After is the time until the first pause ends.

--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -21,6 +21,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/elmcove/elmcove/internal/forward/elmbackoff"
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 	"github.com/elmcove/elmcove/internal/forward/elmslow"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
@@ -85,11 +86,13 @@
 	Full
 	// Broken means that the service's group is not complete.
 	Broken
+	// Paused means that all endpoints that could accept the request asked for a pause.
+	Paused
 )
 
 // String returns the name of a verdict for logs.
 func (v Verdict) String() string {
-	return [...]string{"placed", "absent", "full", "broken"}[v]
+	return [...]string{"placed", "absent", "full", "broken", "paused"}[v]
 }
 
 // Outcome is the result of a request at an endpoint.
@@ -141,6 +144,7 @@
 	peers     map[string]peer
 	services  map[string]*service
 	slow      elmslow.List
+	backoff   *elmbackoff.List
 }
 
 type endpoint struct {
@@ -182,6 +186,7 @@
 	return &Placer{
 		settings: settings, random: random, entries: 1,
 		endpoints: map[string]*endpoint{}, peers: map[string]peer{}, services: map[string]*service{},
+		backoff: elmbackoff.New(),
 	}
 }
 
@@ -223,8 +228,12 @@
 	if p.IsBroken(q.Service.Name, now) {
 		return elmsnapshot.Member{}, Broken
 	}
-	avoidSlow := slices.ContainsFunc(members, func(m elmsnapshot.Member) bool { return !p.IsSlow(m) })
+	members, paused := p.accepting(q, members, now)
 	verdict := NoEndpoint
+	if paused {
+		verdict = Paused
+	}
+	avoidSlow := slices.ContainsFunc(members, func(m elmsnapshot.Member) bool { return !p.IsSlow(m) })
 	var best elmsnapshot.Member
 	bestCost := 0.0
 	for _, m := range members {
@@ -232,12 +241,12 @@
 			continue
 		}
 		if now < p.endpoint(m.ID).brokenUntil {
-			if verdict == NoEndpoint {
+			if verdict == NoEndpoint || verdict == Paused {
 				verdict = Broken
 			}
 			continue
 		}
-		if verdict == NoEndpoint || verdict == Broken {
+		if verdict != Placed {
 			verdict = Full
 		}
 		load := p.load(m.ID, now)
@@ -252,6 +261,53 @@
 	return best, verdict
 }
 
+// accepting returns the members that have not announced that they are leaving or
+// paused, and whether an endpoint that was not tried is paused.
+func (p *Placer) accepting(q Query, members []elmsnapshot.Member, now time.Duration) (accepting []elmsnapshot.Member, paused bool) {
+	for _, m := range members {
+		switch p.backoff.Check(m.ID, m.Started, p.endpoint(m.ID).inFlight, now) {
+		case elmbackoff.Allowed:
+			accepting = append(accepting, m)
+		case elmbackoff.Paused, elmbackoff.Recovering:
+			paused = paused || !slices.Contains(q.Tried, m.ID)
+		}
+	}
+	return accepting, paused
+}
+
+// PauseRemaining returns the time until the first of the members that are paused accepts
+// requests again, or 0 if none is paused.
+func (p *Placer) PauseRemaining(members []elmsnapshot.Member, now time.Duration) time.Duration {
+	remaining := time.Duration(0)
+	for _, m := range members {
+		if p.backoff.Check(m.ID, m.Started, 0, now) != elmbackoff.Paused {
+			continue
+		}
+		if end := p.backoff.PausedUntil(m.ID) - now; remaining == 0 || end < remaining {
+			remaining = end
+		}
+	}
+	return remaining
+}
+
+// SetLeaving records that an endpoint announced that it is leaving, and reports whether
+// that is new.
+func (p *Placer) SetLeaving(m elmsnapshot.Member) bool {
+	return p.backoff.SetLeaving(m.ID, m.Started)
+}
+
+// SetPause records that an endpoint wants no requests until a time, and reports whether
+// a pause begins.
+func (p *Placer) SetPause(m elmsnapshot.Member, until, now time.Duration) bool {
+	return p.backoff.SetPause(m.ID, m.Started, until, now)
+}
+
+// EndPause records that an endpoint has responded to a request that was sent at a time,
+// and reports whether that ends the recovery from a pause.
+func (p *Placer) EndPause(id string, sentAt time.Duration) bool {
+	return p.backoff.Served(id, sentAt)
+}
+
 // IsSlow reports whether a rank is slow. In each forward pass all ranks of a group
 // wait for the slow rank to process its own requests, if it has any.
 func (p *Placer) IsSlow(m elmsnapshot.Member) bool { return p.slow[m.Address] > 1 }
@@ -354,7 +410,8 @@
 
 // Forget deletes the state of endpoints that are no longer listed and have no
 // requests.
-func (p *Placer) Forget(listed func(id string) bool) {
+func (p *Placer) Forget(listed func(id string) bool, now time.Duration) {
+	p.backoff.Forget(listed, now)
 	for id, e := range p.endpoints {
 		if e.inFlight == 0 && !listed(id) {
 			delete(p.endpoints, id)
--- a/internal/forward/elmplace/elmplace_test.go
+++ b/internal/forward/elmplace/elmplace_test.go
@@ -315,3 +315,79 @@
 		t.Errorf("got %v, want absent", v)
 	}
 }
+
+// Guards against requests to endpoints that announced that they leave or pause, and
+// against refusals while another endpoint can carry the request.
+func TestAnnouncements(t *testing.T) {
+	list := members(3)
+	pause := func(p *elmplace.Placer, i int, until time.Duration) { p.SetPause(list[i], until, 0) }
+	for name, c := range map[string]struct {
+		announce func(p *elmplace.Placer)
+		tried    []string
+		at       time.Duration
+		verdict  elmplace.Verdict
+		want     string
+		pause    time.Duration
+	}{
+		"one leaves, one pauses": {announce: func(p *elmplace.Placer) { p.SetLeaving(list[0]); pause(p, 1, time.Second) }, want: "e2", pause: time.Second},
+		"only a slow one accepts": {announce: func(p *elmplace.Placer) {
+			p.SetLeaving(list[0])
+			p.SetLeaving(list[1])
+			p.SetSlow(elmslow.List{"a2": 4})
+		}, want: "e2"},
+		"all leave": {announce: func(p *elmplace.Placer) { leaveAll(p, list) }, at: time.Hour, verdict: elmplace.NoEndpoint},
+		"all pause": {announce: func(p *elmplace.Placer) {
+			pause(p, 0, 3*time.Second)
+			pause(p, 1, 2*time.Second)
+			pause(p, 2, 4*time.Second)
+		}, at: time.Second, verdict: elmplace.Paused, pause: time.Second},
+		"pause of one has ended": {announce: func(p *elmplace.Placer) {
+			pause(p, 0, 3*time.Second)
+			pause(p, 1, 2*time.Second)
+			pause(p, 2, 4*time.Second)
+		}, at: 2 * time.Second, want: "e1", pause: time.Second},
+		"others have been tried":     {announce: func(p *elmplace.Placer) { pause(p, 0, time.Second) }, tried: []string{"e1", "e2"}, verdict: elmplace.Paused, pause: time.Second},
+		"the paused one was tried":   {announce: func(p *elmplace.Placer) { pause(p, 0, time.Second) }, tried: []string{"e0", "e1", "e2"}, verdict: elmplace.NoEndpoint, pause: time.Second},
+		"others are in broken group": {announce: func(p *elmplace.Placer) { pause(p, 0, time.Second); breakRank(p, "e1"); breakRank(p, "e2") }, verdict: elmplace.Broken, pause: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer()
+			c.announce(p)
+			m, verdict := p.Pick(elmplace.Query{Service: engines, Tried: c.tried}, list, c.at)
+			if verdict != c.verdict || m.ID != c.want {
+				t.Errorf("got %q, %v; want %q, %v", m.ID, verdict, c.want, c.verdict)
+			}
+			if remaining := p.PauseRemaining(list, c.at); remaining != c.pause {
+				t.Errorf("pause of %v, want %v", remaining, c.pause)
+			}
+		})
+	}
+}
+
+func leaveAll(p *elmplace.Placer, list []elmsnapshot.Member) {
+	for _, m := range list {
+		p.SetLeaving(m)
+	}
+}
+
+// breakRank excludes an endpoint whose group is broken while others make progress.
+func breakRank(p *elmplace.Placer, id string) {
+	p.RecordProgress("draft", "other", 0)
+	p.ReportBroken("draft", id, 0)
+}
+
+// TestPauseEndsGently checks that one request at a time tests an endpoint after its
+// pause, until one was served.
+func TestPauseEndsGently(t *testing.T) {
+	p, list := newPlacer(), members(1)
+	p.SetPause(list[0], time.Second, 0)
+	if got, verdict := fill(p, engines, list, 5, time.Second); got["e0"] != 1 || verdict != elmplace.Paused {
+		t.Errorf("%d requests after the pause, then %v; want 1", got["e0"], verdict)
+	}
+	if !p.EndPause("e0", time.Second) {
+		t.Error("the pause has not ended")
+	}
+	if got, _ := fill(p, engines, list, 5, 2*time.Second); got["e0"] != 5 {
+		t.Errorf("%d requests after the first was served, want 5", got["e0"])
+	}
+}
--- a/internal/forward/elmretryafter/elmretryafter.go
+++ b/internal/forward/elmretryafter/elmretryafter.go
@@ -25,6 +25,8 @@
 	// maxDelayRatio is the longest retry delay as a fraction of the caller's
 	// remaining time. Callers honour up to a third.
 	maxDelayRatio = 0.33
+	// pauseJitter is the spread of the retry delay after a pause, as a fraction of it.
+	pauseJitter = 0.2
 )
 
 // After returns the retry delay for a caller with a remaining time until its deadline.
@@ -35,3 +37,9 @@
 	longest := time.Duration(maxDelayRatio * (0.93 + 0.07*random()) * float64(remaining))
 	return max(min(delay, longest), time.Millisecond)
 }
+
+// AfterPause returns the retry delay while all endpoints want no requests for a pause.
+// An earlier retry would be refused again.
+func AfterPause(pause time.Duration, random func() float64) time.Duration {
+	return time.Duration((1 + pauseJitter*random()) * float64(pause))
+}
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -54,6 +54,8 @@
 	callerRetry bool
 	member      elmsnapshot.Member
 	verdict     elmplace.Verdict
+	// pause is the time until the first paused endpoint accepts requests, or 0.
+	pause time.Duration
 	// slotHeld is set while the request occupies a slot of member.
 	slotHeld bool
 	// reserved is set if a slot was taken before the lifecycle asked for one.
@@ -143,7 +145,9 @@
 	}
 	for {
 		message := d.tryPlace(c)
-		if _, unplaced := message.(elmlifecycle.Unplaced); !unplaced || elmclock.Now() >= until {
+		now := elmclock.Now()
+		pausedBeyond := d.verdict == elmplace.Paused && now+d.pause >= until
+		if _, unplaced := message.(elmlifecycle.Unplaced); !unplaced || now >= until || pausedBeyond {
 			return message
 		}
 		elmclock.Wait(d.ctx, elmretryafter.SlotPollInterval)
@@ -190,9 +194,11 @@
 	defer d.router.mutex.Unlock()
 	query := elmplace.Query{Service: d.service, Tried: c.Tried, CallerRetry: d.callerRetry}
 	d.member, d.verdict = d.router.placer.Pick(query, members, now)
-	if d.verdict == elmplace.NoEndpoint {
-		d.member, d.verdict = d.router.placer.Pick(query, snapshot.LastResort(d.service.Name, now), now)
+	if d.verdict == elmplace.NoEndpoint || d.verdict == elmplace.Paused {
+		members = snapshot.LastResort(d.service.Name, now)
+		d.member, d.verdict = d.router.placer.Pick(query, members, now)
 	}
+	d.pause = d.router.placer.PauseRemaining(members, now)
 	if d.verdict != elmplace.Placed {
 		return elmlifecycle.Unplaced{}
 	}
@@ -271,6 +277,7 @@
 // checkHead returns the message for the head of a response.
 func (d *delivery) checkHead() elmlifecycle.Message {
 	responseInfo := platform.ReadResponseInfo(d.response.Status, d.response.Header)
+	d.recordAnnouncements(responseInfo)
 	switch {
 	case responseInfo.NotRun:
 		d.cause = refusalError{d.response.Status, "endpoint rejected the request"}
@@ -278,7 +285,11 @@
 			d.router.attributeFailure(d.service.Name, d.member.ID, responseInfo.FailedEndpoint)
 		}
 		discardBody(d.response)
-		d.release(elmplace.Failed)
+		outcome := elmplace.Failed
+		if responseInfo.Pause > 0 {
+			outcome = elmplace.Ignored // The pause itself keeps requests away.
+		}
+		d.release(outcome)
 		retry := len(d.lifecycle.Tried()) < d.route.Attempts && !d.groupBroken() && d.takeRetry()
 		return elmlifecycle.Rejected{NoRetry: !retry}
 	case !responseInfo.Sealed || responseInfo.Encoded:
@@ -320,6 +331,9 @@
 		retryAfter = elmretryafter.BrokenGroupDelay
 	}
 	after := elmretryafter.After(d.requestInfo.Deadline-held, retryAfter, rand.Float64)
+	if d.verdict == elmplace.Paused && d.pause > 0 {
+		after = elmretryafter.AfterPause(d.pause, rand.Float64)
+	}
 	d.router.respond(d.writer, d.requestInfo, http.StatusServiceUnavailable, after)
 	d.router.meter.Count("elmcove_refusals_total", "reason", d.verdict.String())
 	d.router.logger.Event(elmlog.RequestRefused, d.logFields("after", after, "verdict", d.verdict.String())...)
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -270,7 +270,7 @@
 			}
 		}
 		r.mutex.Lock()
-		r.placer.Forget(func(id string) bool { return listed[id] })
+		r.placer.Forget(func(id string) bool { return listed[id] }, elmclock.Now())
 		r.mutex.Unlock()
 	}
 }
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -64,6 +64,10 @@
 	MapUnknown          Event = 1530
 	OrderNotAccepted    Event = 1531
 	EndpointBroken      Event = 1532
+	LeavingAnnounced    Event = 1541
+	PauseAnnounced      Event = 1542
+	PauseEnded          Event = 1543
+	PauseInvalid        Event = 1544
 	ProcessResumed      Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -131,6 +135,10 @@
 	EndpointCold:        {hclog.Warn, "endpoint turned cold", adviceNone + " Its load is reduced until it is warm."},
 	EndpointFailed:      {hclog.Warn, "endpoint failed to serve a request", "If it recurs, drain the endpoint."},
 	RecordFailed:        {hclog.Warn, "finished request could not be recorded", "Retries with its key are refused as unknown until the claim expires."},
+	LeavingAnnounced:    {hclog.Info, "endpoint announced that it is leaving", adviceNone},
+	PauseAnnounced:      {hclog.Info, "endpoint asked for a pause", "Check the endpoint's load if it repeats."},
+	PauseEnded:          {hclog.Info, "endpoint serves again after its pause", adviceNone},
+	PauseInvalid:        {hclog.Warn, "endpoint's Retry-After can't be parsed", "It counts as none. Fix the endpoint."},
 	ProcessResumed:      {hclog.Warn, "process resumed after suspension", "Waiting keyed requests are refused as unknown. Check whether the instance was paused or short of CPU time."},
 	TracesLost:          {hclog.Warn, "traces could not be exported", "Check the traces setting and the collector."},
 	CredentialRejected:  {hclog.Info, "credential rejected", "Check the workspace's credential."},
