Keep placement without announcements as cheap as before

Pick copied the list of members and tryPlace went through it a second time for each request, although announcements are rare. Both happen only if there are announcements now.

--- a/internal/forward/elmbackoff/elmbackoff.go
+++ b/internal/forward/elmbackoff/elmbackoff.go
@@ -50,6 +50,9 @@
 // New returns an empty List.
 func New() *List { return &List{records: map[string]record{}} }
 
+// IsEmpty reports whether there are no announcements.
+func (l *List) IsEmpty() bool { return len(l.records) == 0 }
+
 // SetLeaving records that an incarnation is leaving, and reports whether that is new.
 func (l *List) SetLeaving(id string, started int64) bool {
 	r, current := l.record(id, started)
--- a/internal/forward/elmexchange/response.go
+++ b/internal/forward/elmexchange/response.go
@@ -24,7 +24,9 @@
 type Framing string
 
 const (
+	// FramedByLength means that a header announces the length of the body.
 	FramedByLength Framing = "length"
+	// FramedByChunks means that the last chunk ends the body.
 	FramedByChunks Framing = "chunked"
 	// FramedByClose means that the body ends when the endpoint closes the connection.
 	FramedByClose Framing = "close"
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -240,30 +240,44 @@
 		if slices.Contains(q.Tried, m.ID) || avoidSlow && p.IsSlow(m) {
 			continue
 		}
-		if now < p.endpoint(m.ID).brokenUntil {
+		load := p.load(m.ID, now)
+		switch p.capacity(q, m, load, now) {
+		case Broken:
 			if verdict == NoEndpoint || verdict == Paused {
 				verdict = Broken
 			}
-			continue
-		}
-		if verdict != Placed {
-			verdict = Full
-		}
-		load := p.load(m.ID, now)
-		if load >= p.limit(q, m) || !p.hasColdCapacity(q.Service, m, now) {
-			continue
-		}
-		cost := p.cost(q.Service, m, load, now)
-		if verdict != Placed || cost < bestCost {
-			best, bestCost, verdict = m, cost, Placed
+		case Full:
+			if verdict != Placed {
+				verdict = Full
+			}
+		case Placed:
+			cost := p.cost(q.Service, m, load, now)
+			if verdict != Placed || cost < bestCost {
+				best, bestCost, verdict = m, cost, Placed
+			}
 		}
 	}
 	return best, verdict
 }
 
+// capacity returns Placed if an endpoint with a load can accept a request, and otherwise
+// Broken or Full.
+func (p *Placer) capacity(q Query, m elmsnapshot.Member, load float64, now time.Duration) Verdict {
+	switch {
+	case now < p.endpoint(m.ID).brokenUntil:
+		return Broken
+	case load >= p.limit(q, m) || !p.hasColdCapacity(q.Service, m, now):
+		return Full
+	}
+	return Placed
+}
+
 // accepting returns the members that have not announced that they are leaving or
 // paused, and whether an endpoint that was not tried is paused.
 func (p *Placer) accepting(q Query, members []elmsnapshot.Member, now time.Duration) (accepting []elmsnapshot.Member, paused bool) {
+	if p.backoff.IsEmpty() {
+		return members, false
+	}
 	for _, m := range members {
 		switch p.backoff.Check(m.ID, m.Started, p.endpoint(m.ID).inFlight, now) {
 		case elmbackoff.Allowed:
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -54,7 +54,8 @@
 	callerRetry bool
 	member      elmsnapshot.Member
 	verdict     elmplace.Verdict
-	// pause is the time until the first paused endpoint accepts requests, or 0.
+	// pause is the time until the first paused endpoint accepts requests, if verdict
+	// is Paused.
 	pause time.Duration
 	// slotHeld is set while the request occupies a slot of member.
 	slotHeld bool
@@ -198,7 +199,9 @@
 		members = snapshot.LastResort(d.service.Name, now)
 		d.member, d.verdict = d.router.placer.Pick(query, members, now)
 	}
-	d.pause = d.router.placer.PauseRemaining(members, now)
+	if d.verdict == elmplace.Paused {
+		d.pause = d.router.placer.PauseRemaining(members, now)
+	}
 	if d.verdict != elmplace.Placed {
 		return elmlifecycle.Unplaced{}
 	}
