Move the announcements of elmplace to a file of their own

The fixture of elmrouter writes endpoints' entries in one place again. No logic changes; the tests of both packages pass.

--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -272,56 +272,6 @@
 	return Placed
 }
 
-// accepting returns the members that have not announced that they are leaving or
-// paused, and whether an endpoint that was not tried is paused.
-func (p *Placer) accepting(q Query, members []elmsnapshot.Member, now time.Duration) (accepting []elmsnapshot.Member, paused bool) {
-	if p.backoff.IsEmpty() {
-		return members, false
-	}
-	for _, m := range members {
-		switch p.backoff.Check(m.ID, m.Started, p.endpoint(m.ID).inFlight, now) {
-		case elmbackoff.Allowed:
-			accepting = append(accepting, m)
-		case elmbackoff.Paused, elmbackoff.Recovering:
-			paused = paused || !slices.Contains(q.Tried, m.ID)
-		}
-	}
-	return accepting, paused
-}
-
-// PauseRemaining returns the time until the first of the members that are paused accepts
-// requests again, or 0 if none is paused.
-func (p *Placer) PauseRemaining(members []elmsnapshot.Member, now time.Duration) time.Duration {
-	remaining := time.Duration(0)
-	for _, m := range members {
-		if p.backoff.Check(m.ID, m.Started, 0, now) != elmbackoff.Paused {
-			continue
-		}
-		if end := p.backoff.PausedUntil(m.ID) - now; remaining == 0 || end < remaining {
-			remaining = end
-		}
-	}
-	return remaining
-}
-
-// SetLeaving records that an endpoint announced that it is leaving, and reports whether
-// that is new.
-func (p *Placer) SetLeaving(m elmsnapshot.Member) bool {
-	return p.backoff.SetLeaving(m.ID, m.Started)
-}
-
-// SetPause records that an endpoint wants no requests until a time, and reports whether
-// a pause begins.
-func (p *Placer) SetPause(m elmsnapshot.Member, until, now time.Duration) bool {
-	return p.backoff.SetPause(m.ID, m.Started, until, now)
-}
-
-// EndPause records that an endpoint has responded to a request that was sent at a time,
-// and reports whether that ends the recovery from a pause.
-func (p *Placer) EndPause(id string, sentAt time.Duration) bool {
-	return p.backoff.Served(id, sentAt)
-}
-
 // IsSlow reports whether a rank is slow. In each forward pass all ranks of a group
 // wait for the slow rank to process its own requests, if it has any.
 func (p *Placer) IsSlow(m elmsnapshot.Member) bool { return p.slow[m.Address] > 1 }
--- a/internal/forward/elmrouter/announce_test.go
+++ b/internal/forward/elmrouter/announce_test.go
@@ -1,7 +1,6 @@
 package elmrouter_test
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,20 +20,12 @@
 	}
 }
 
-// listIncarnation writes an endpoint's entry with the start of its incarnation.
-func (f *fixture) listIncarnation(id string, started int64) {
-	entry, _ := json.Marshal(map[string]any{
-		"service": "desk", "address": f.addresses[id], "zone": "home", "slots": 4, "state": "ready", "coldLeftMs": 0, "born": started,
-	})
-	f.store.Put("servers/"+id, entry)
-}
-
 // Guards against requests to an endpoint that announced in a response that it is
 // leaving, while its entry in the store still says that it is ready.
 func TestEndpointAnnouncesThatItIsLeaving(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 2, nil)
-	f.listIncarnation("e0", 1)
+	f.listIncarnation("e0", "ready", 1)
 	f.endpoints[0].SetLeaving(true)
 	f.eventually("announced", func() bool {
 		f.call(t.Context(), "POST", "/once/a", "", nil)
@@ -42,13 +33,13 @@
 	})
 	before := len(f.endpoints[0].Requests())
 	f.callMany(10)
-	f.listIncarnation("e0", 1)
+	f.listIncarnation("e0", "ready", 1)
 	f.callMany(10)
 	if n := len(f.endpoints[0].Requests()) - before; n > 0 {
 		t.Errorf("the leaving endpoint received %d requests", n)
 	}
 	f.endpoints[0].SetLeaving(false)
-	f.listIncarnation("e0", 2)
+	f.listIncarnation("e0", "ready", 2)
 	f.eventually("back with its next incarnation", func() bool {
 		f.call(t.Context(), "POST", "/once/a", "", nil)
 		return len(f.endpoints[0].Requests()) > before
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -144,9 +144,13 @@
 }
 
 // listEndpoint writes an endpoint's entry to the store.
-func (f *fixture) listEndpoint(id, state string) {
+func (f *fixture) listEndpoint(id, state string) { f.listIncarnation(id, state, 1) }
+
+// listIncarnation writes the entry of an incarnation that started at a time, in Unix
+// milliseconds.
+func (f *fixture) listIncarnation(id, state string, started int64) {
 	entry, _ := json.Marshal(map[string]any{
-		"service": "desk", "address": f.addresses[id], "zone": "home", "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1,
+		"service": "desk", "address": f.addresses[id], "zone": "home", "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": started,
 	})
 	f.store.Put("servers/"+id, entry)
 }
