Refuse at once while all endpoints of a service leave

A retried request waited up to 1.6 s for a slot although every endpoint had announced that it is leaving: TestAllEndpointsLeave failed with 1.2 s. The placer has a verdict of its own for it, and the router refuses at once. When other endpoints will be listed is not known, so Retry-After is the one for overload.

--- a/internal/forward/elmplace/announcements.go
+++ b/internal/forward/elmplace/announcements.go
@@ -9,20 +9,26 @@
 )
 
 // accepting returns the members that have not announced that they are leaving or
-// paused, and whether an endpoint that was not tried is paused.
-func (p *Placer) accepting(q Query, members []elmsnapshot.Member, now time.Duration) (accepting []elmsnapshot.Member, paused bool) {
+// paused, and the verdict if none of them can accept the request.
+func (p *Placer) accepting(q Query, members []elmsnapshot.Member, now time.Duration) ([]elmsnapshot.Member, Verdict) {
+	verdict := NoEndpoint
 	if p.backoff.IsEmpty() {
-		return members, false
+		return members, verdict
 	}
+	var accepting []elmsnapshot.Member
 	for _, m := range members {
-		switch p.backoff.Check(m.ID, m.Started, p.endpoint(m.ID).inFlight, now) {
-		case elmbackoff.Allowed:
+		check := p.backoff.Check(m.ID, m.Started, p.endpoint(m.ID).inFlight, now)
+		switch {
+		case check == elmbackoff.Allowed:
 			accepting = append(accepting, m)
-		case elmbackoff.Paused, elmbackoff.Recovering:
-			paused = paused || !slices.Contains(q.Tried, m.ID)
+		case slices.Contains(q.Tried, m.ID):
+		case check != elmbackoff.Leaving:
+			verdict = Paused
+		case verdict == NoEndpoint:
+			verdict = Leaving
 		}
 	}
-	return accepting, paused
+	return accepting, verdict
 }
 
 // PauseRemaining returns the time until the first of the members that are paused accepts
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -88,11 +88,13 @@
 	Broken
 	// Paused means that all endpoints that could accept the request asked for a pause.
 	Paused
+	// Leaving means that all endpoints announced that they are leaving.
+	Leaving
 )
 
 // String returns the name of a verdict for logs.
 func (v Verdict) String() string {
-	return [...]string{"placed", "absent", "full", "broken", "paused"}[v]
+	return [...]string{"placed", "absent", "full", "broken", "paused", "leaving"}[v]
 }
 
 // Outcome is the result of a request at an endpoint.
@@ -228,11 +230,7 @@
 	if p.IsBroken(q.Service.Name, now) {
 		return elmsnapshot.Member{}, Broken
 	}
-	members, paused := p.accepting(q, members, now)
-	verdict := NoEndpoint
-	if paused {
-		verdict = Paused
-	}
+	members, verdict := p.accepting(q, members, now)
 	avoidSlow := slices.ContainsFunc(members, func(m elmsnapshot.Member) bool { return !p.IsSlow(m) })
 	var best elmsnapshot.Member
 	bestCost := 0.0
@@ -243,7 +241,7 @@
 		load := p.load(m.ID, now)
 		switch p.capacity(q, m, load, now) {
 		case Broken:
-			if verdict == NoEndpoint || verdict == Paused {
+			if verdict != Placed && verdict != Full {
 				verdict = Broken
 			}
 		case Full:
--- a/internal/forward/elmrouter/announce_test.go
+++ b/internal/forward/elmrouter/announce_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// Guards against callers who wait while all endpoints leave.
+func TestAllEndpointsLeave(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, nil)
+	f.endpoints[0].SetLeaving(true)
+	f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Deadline-Ms": "9000"})
+	start := time.Now()
+	got := f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Deadline-Ms": "4000"}) // A retry by its deadline.
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || len(f.runs()) != 1 {
+		t.Errorf("status %d, Retry-After %q, %d requests sent", got.status, got.header.Get("Retry-After"), len(f.runs()))
+	}
+	if held := time.Since(start); held > 500*time.Millisecond {
+		t.Errorf("refused after %v, want at once", held)
+	}
+}
+
 // Guards against a pause that is taken from a header that can't be parsed.
 func TestInvalidPause(t *testing.T) {
 	t.Parallel()
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -147,8 +147,8 @@
 	for {
 		message := d.tryPlace(c)
 		now := elmclock.Now()
-		pausedBeyond := d.verdict == elmplace.Paused && now+d.pause >= until
-		if _, unplaced := message.(elmlifecycle.Unplaced); !unplaced || now >= until || pausedBeyond {
+		hopeless := d.verdict == elmplace.Leaving || d.verdict == elmplace.Paused && now+d.pause >= until
+		if _, unplaced := message.(elmlifecycle.Unplaced); !unplaced || now >= until || hopeless {
 			return message
 		}
 		elmclock.Wait(d.ctx, elmretryafter.SlotPollInterval)
@@ -195,7 +195,8 @@
 	defer d.router.mutex.Unlock()
 	query := elmplace.Query{Service: d.service, Tried: c.Tried, CallerRetry: d.callerRetry}
 	d.member, d.verdict = d.router.placer.Pick(query, members, now)
-	if d.verdict == elmplace.NoEndpoint || d.verdict == elmplace.Paused {
+	switch d.verdict {
+	case elmplace.NoEndpoint, elmplace.Paused, elmplace.Leaving:
 		members = snapshot.LastResort(d.service.Name, now)
 		d.member, d.verdict = d.router.placer.Pick(query, members, now)
 	}
