Abort a resumed stream whose next response does not continue it

TestResumedByFailure failed for "failure of the endpoint" and passes now: a response continues a stream only if it is an event stream with the status that the caller has; otherwise it counts as a lost response, and the stream is resumed once more or aborted.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -65,6 +65,8 @@
 	// firstByte is the time of the first byte sent to the caller, or 0.
 	firstByte time.Duration
 	response  *elmexchange.Response
+	// status is the status that the caller has, or 0.
+	status int
 	// framing is how the last forwarded response marks its end, or "".
 	framing elmexchange.Framing
 	// received is the number of body bytes received in that response.
@@ -254,7 +256,7 @@
 		return d.exchangeFailed(err)
 	}
 	d.response = response
-	return d.checkHead()
+	return d.checkHead(c.Resume)
 }
 
 // exchangeFailed returns the message for an exchange without a usable response.
@@ -278,8 +280,9 @@
 	return d.route.Retryable() && len(d.lifecycle.Tried()) < d.route.Attempts && d.takeRetry()
 }
 
-// checkHead returns the message for the head of a response.
-func (d *delivery) checkHead() elmlifecycle.Message {
+// checkHead returns the message for the head of a response, which has to continue a
+// stream if that is resumed.
+func (d *delivery) checkHead(resumed bool) elmlifecycle.Message {
 	responseInfo := platform.ReadResponseInfo(d.response.Status, d.response.Header)
 	d.recordAnnouncements(responseInfo)
 	switch {
@@ -300,6 +303,10 @@
 		d.cause = refusalError{d.response.Status, "response is unsealed or encoded"}
 		d.release(elmplace.Failed)
 		return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
+	case resumed && !d.continuesStream():
+		d.cause = refusalError{d.response.Status, "response does not continue the stream"}
+		d.release(elmplace.Failed)
+		return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
 	case d.response.Status >= http.StatusInternalServerError && d.route.Kind == elmcatalog.Idempotent && d.takeRetryIfRetryable():
 		d.cause = refusalError{d.response.Status, "endpoint failed the request"}
 		discardBody(d.response)
@@ -309,6 +316,12 @@
 	return elmlifecycle.HeadersReceived{}
 }
 
+// continuesStream reports whether the response is an event stream with the status that
+// the caller has.
+func (d *delivery) continuesStream() bool {
+	return d.response.Status == d.status && elmevents.IsStream(d.response.Header.Get("Content-Type"))
+}
+
 // groupBroken reports whether the service's group is broken.
 func (d *delivery) groupBroken() bool {
 	d.router.mutex.Lock()
--- a/internal/forward/elmrouter/framing_test.go
+++ b/internal/forward/elmrouter/framing_test.go
@@ -81,6 +81,27 @@
 	}
 }
 
+// Guards against a resumed stream reaching its caller as complete although the second
+// endpoint's response is no continuation of it.
+func TestResumedByFailure(t *testing.T) {
+	for name, second := range map[string]stand.Behaviour{
+		"failure of the endpoint": stand.ServerError,
+		"lost response":           stand.LoseResponse,
+		"rejection":               stand.Reject,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 2, nil)
+			f.endpoints[1].ShareBehaviours(f.endpoints[0])
+			f.endpoints[0].QueueBehaviours(stand.CloseInsideEvent, second)
+			got := f.call(t.Context(), "POST", "/stream/a?stream=1", "", nil)
+			if got.err == nil || got.body != wholeStream[:42] {
+				t.Errorf("error %v, body %q; log:\n%s", got.err, got.body, f.log)
+			}
+		})
+	}
+}
+
 // Guards against a truncated stream reaching an HTTP/1.0 caller as complete, for whom
 // the end of the connection is the end of the response.
 func TestTruncatedStreamOverHTTP10(t *testing.T) {
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -60,7 +60,8 @@
 	if events {
 		header.Del("Content-Length") // A resumed stream may differ in length.
 	}
-	d.writer.WriteHeader(d.response.Status)
+	d.status = d.response.Status
+	d.writer.WriteHeader(d.status)
 	if !events {
 		d.firstByte = elmclock.Now()
 	}
