Log the prompt segments of requests, and crashes of endpoints

The logs of the incident can't tell whether crashed endpoints have a prompt segment in common: no line names the segments, and a crash, a reset and the end of a stalled group all look like a lost response. Lines of requests now have their shared segments, and event 1551 names the segments in flight at an endpoint that refuses connections after it lost responses. No decision changes.

--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -227,6 +227,17 @@
 	}, nil
 }
 
+// IsRefused reports whether an address refuses new connections, so that no process
+// listens there. Without an answer it reports false.
+func (cl *Client) IsRefused(ctx context.Context, address string) bool {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialed, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = dialed.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // takeIdle removes and returns a reusable idle connection, or nil if there is none.
 func (cl *Client) takeIdle(address string) *conn {
 	cl.mutex.Lock()
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -271,6 +271,7 @@
 	if unsent {
 		return elmlifecycle.Rejected{NoRetry: !d.takeRetry()}
 	}
+	d.recordLostResponse()
 	return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
 }
 
@@ -392,6 +393,9 @@
 	if d.firstByte > 0 {
 		fields = append(fields, "first", d.firstByte-d.began)
 	}
+	if len(d.requestInfo.Segments) > 0 {
+		fields = append(fields, "segments", d.requestInfo.Segments)
+	}
 	if d.framing != "" {
 		fields = append(fields, "framing", d.framing, "bytes", d.received, "partial", len(d.splitter.Pending()))
 	}
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -82,6 +82,8 @@
 	mutex   sync.Mutex
 	placer  *elmplace.Placer
 	polling map[string]bool
+	// lost holds the endpoints that are being checked for a crash, by ID.
+	lost map[string]*lostResponses
 	// longestDeadline is the longest deadline seen on each route.
 	longestDeadline map[string]time.Duration
 }
@@ -93,6 +95,7 @@
 		store:           platform.NewStore(settings.Store),
 		ranks:           platform.NewRankClient(reportTimeout),
 		polling:         map[string]bool{},
+		lost:            map[string]*lostResponses{},
 		longestDeadline: map[string]time.Duration{},
 		placer: elmplace.New(elmplace.Settings{
 			Datacentre: settings.Datacentre,
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -46,6 +46,7 @@
 		return elmlifecycle.Truncated{Resumable: true}
 	}
 	d.release(elmplace.Failed)
+	d.recordLostResponse()
 	resumable := events && d.route.Resumable
 	spent := !resumable || len(d.lifecycle.Tried()) >= d.route.Attempts || d.groupBroken() || !d.takeRetry()
 	return elmlifecycle.Truncated{Resumable: resumable, NoRetry: spent}
--- a/internal/observe/elmcause/elmcause.go
+++ b/internal/observe/elmcause/elmcause.go
@@ -33,7 +33,7 @@
 var contextEvents = []elmlog.Event{
 	elmlog.ConfigAdopted, elmlog.StoreDown, elmlog.StoreRecovered, elmlog.PeerUsed, elmlog.ReadinessChanged,
 	elmlog.EndpointListed, elmlog.EndpointLeaving, elmlog.EndpointRemoved, elmlog.DatacentreWithdrawn,
-	elmlog.DatacentreReturned, elmlog.LeavingAnnounced, elmlog.PauseAnnounced, elmlog.PauseEnded, elmlog.GroupBroken, elmlog.GroupOpen, elmlog.Stopping, elmlog.Started,
+	elmlog.DatacentreReturned, elmlog.EndpointCrashed, elmlog.LeavingAnnounced, elmlog.PauseAnnounced, elmlog.PauseEnded, elmlog.GroupBroken, elmlog.GroupOpen, elmlog.Stopping, elmlog.Started,
 }
 
 // maxContextLines is the number of lines of context events that are shown.
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -68,6 +68,7 @@
 	PauseAnnounced      Event = 1542
 	PauseEnded          Event = 1543
 	PauseInvalid        Event = 1544
+	EndpointCrashed     Event = 1551
 	ProcessResumed      Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -139,6 +140,7 @@
 	PauseAnnounced:      {hclog.Info, "endpoint asked for a pause", "Check the endpoint's load if it repeats."},
 	PauseEnded:          {hclog.Info, "endpoint serves again after its pause", adviceNone},
 	PauseInvalid:        {hclog.Warn, "endpoint's Retry-After can't be parsed", "It counts as none. Fix the endpoint."},
+	EndpointCrashed:     {hclog.Warn, "endpoint crashed with requests in flight", "Check the endpoint's own log. If several crashed under one prompt segment, find its caller."},
 	ProcessResumed:      {hclog.Warn, "process resumed after suspension", "Waiting keyed requests are refused as unknown. Check whether the instance was paused or short of CPU time."},
 	TracesLost:          {hclog.Warn, "traces could not be exported", "Check the traces setting and the collector."},
 	CredentialRejected:  {hclog.Info, "credential rejected", "Check the workspace's credential."},
