--- /dev/null
+++ b/internal/forward/elmrouter/crash_test.go
@@ -0,0 +1,105 @@
+package elmrouter_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	poison = "bad1"
+	// stableWindow is the time in which all entries must know of a segment that
+	// crashes endpoints.
+	stableWindow = 3 * time.Second
+	crashes      = 5
+)
+
+// poisonEndpoints makes each endpoint crash under requests with the poison segment, and
+// come back as its next incarnation.
+func (f *fixture) poisonEndpoints() {
+	var mutex sync.Mutex
+	for i, e := range f.endpoints {
+		host, started := f.hosts[i], int64(1)
+		e.SetPoison(poison, func() {
+			host.Crash()
+			time.AfterFunc(300*time.Millisecond, func() {
+				mutex.Lock()
+				defer mutex.Unlock()
+				started++
+				if f.t.Context().Err() == nil && host.Start() == nil {
+					f.listIncarnation(e.ID, "ready", started)
+				}
+			})
+		})
+	}
+}
+
+// countPoisoned returns the numbers of requests with the poison segment that endpoints
+// received, and of those that crashed one.
+func (f *fixture) countPoisoned() (received, crashed int) {
+	for _, q := range f.runs() {
+		if q.Header.Get("Test-Poison") != "" {
+			received++
+		}
+		if q.Crashed {
+			crashed++
+		}
+	}
+	return received, crashed
+}
+
+// callPoisoned sends a request with the poison segment, in varying places.
+func (f *fixture) callPoisoned(n int) result {
+	prompt := fmt.Sprintf("first%d:40,%s:100,own%d:50", n%2, poison, n)
+	return f.call(f.t.Context(), "POST", "/single/a?stream=1", "", map[string]string{"Prompt-Prefix": prompt, "Test-Poison": "1"})
+}
+
+// callSound sends a request that shares its first segment with poisoned ones, and
+// reports whether it was served.
+func (f *fixture) callSound(n int) bool {
+	got := f.call(f.t.Context(), "POST", "/single/a?stream=1", "", map[string]string{"Prompt-Prefix": fmt.Sprintf("first%d:40,s%d:50", n%2, n)})
+	return got.err == nil && got.status == http.StatusOK && got.body == wholeStream
+}
+
+// Guards against BUDGET: requests with a prompt segment under which endpoints crash
+// are sent to one endpoint after the other, by entries that do not tell each other.
+func TestCrashingSegmentReachesNoMoreEndpoints(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 6, nil)
+	f.poisonEndpoints()
+	entries := []*fixture{f, f.addEntry("entry-2"), f.addEntry("entry-3")}
+	for n := range 12 {
+		entries[n%3].callSound(n)
+	}
+	start := time.Now()
+	for n := 0; time.Since(start) < 15*time.Second; n++ {
+		if _, crashed := f.countPoisoned(); crashed >= crashes {
+			break
+		}
+		entries[n%3].callPoisoned(n)
+		entries[(n+1)%3].callSound(n)
+		<-time.After(400 * time.Millisecond)
+	}
+	<-time.After(stableWindow)
+	before, _ := f.countPoisoned()
+	restarted := entries[2]
+	restarted.stop()
+	restarted = restarted.addEntry("entry-4")
+	served := 0
+	for n := range 18 {
+		e := []*fixture{f, entries[1], restarted}[n%3]
+		e.callPoisoned(n)
+		if e.callSound(n) {
+			served++
+		}
+	}
+	received, crashed := f.countPoisoned()
+	if received-before > 3 {
+		t.Errorf("%d requests with the segment reached endpoints after its %d crashes, want 3 at most; %d crashes in all", received-before, crashes, crashed)
+	}
+	if served < 17 {
+		t.Errorf("%d of 18 sound requests with the same first segment were served", served)
+	}
+}
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -25,6 +25,7 @@
 	t         *testing.T
 	store     *stand.Store
 	endpoints []*stand.Endpoint
+	hosts     []*stand.Host
 	addresses map[string]string
 	settings  platform.Settings
 	log       *logBuffer
@@ -104,42 +105,66 @@
 		f.addEndpoint(fmt.Sprintf("e%d", i))
 	}
 	f.store.Put("op/config", configuration(1, credential))
-	ip := loopback()
 	f.settings = platform.Settings{
-		Instance: "entry-1", Datacentre: "home", IP: ip, Ports: []int{peerPort},
-		Callers: fmt.Sprintf("%s:%d", ip, callerPort), Readiness: fmt.Sprintf("%s:%d", ip, readinessPort), Store: strings.TrimPrefix(storeServer.URL, "http://"),
+		Instance: "entry-1", Datacentre: "home", Ports: []int{peerPort}, Store: strings.TrimPrefix(storeServer.URL, "http://"),
 		Bounds: platform.Bounds{
 			RevokeDelay: 5 * time.Second, Grace: 3 * time.Second, LeaveDelay: 2 * time.Second, WithdrawDelay: 5 * time.Second,
 			RetryRatio: 0.2, RetryBurst: 90, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
 		},
 	}
+	f.setAddress()
 	if change != nil {
 		change(&f.settings)
 	}
-	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(storeServer.CloseClientConnections)
+	f.start()
+	return f
+}
+
+// setAddress gives the entry a loopback address of its own.
+func (f *fixture) setAddress() {
+	f.settings.IP = loopback()
+	f.settings.Callers = fmt.Sprintf("%s:%d", f.settings.IP, callerPort)
+	f.settings.Readiness = fmt.Sprintf("%s:%d", f.settings.IP, readinessPort)
+}
+
+// start starts a router with the settings and waits until it is ready.
+func (f *fixture) start() {
+	f.t.Helper()
+	ctx, stop := context.WithCancel(f.t.Context())
 	f.stop = stop
-	router := elmrouter.New(f.settings, elmlog.NewJSON("entry-1", f.log))
-	go func() { f.done <- router.Run(ctx) }()
-	t.Cleanup(func() {
+	router := elmrouter.New(f.settings, elmlog.NewJSON(f.settings.Instance, f.log))
+	done := f.done
+	go func() { done <- router.Run(ctx) }()
+	f.t.Cleanup(func() {
 		stop()
-		if err := <-f.done; err != nil {
-			t.Error(err)
+		if err := <-done; err != nil {
+			f.t.Error(err)
 		}
-		storeServer.CloseClientConnections()
 	})
 	f.eventually("ready", func() bool { return f.status("http://"+f.settings.Readiness+platform.ReadinessPath) == http.StatusOK })
-	return f
+}
+
+// addEntry starts another entry with the same store and endpoints.
+func (f *fixture) addEntry(name string) *fixture {
+	f.t.Helper()
+	other := *f
+	other.settings.Instance, other.log, other.done = name, &logBuffer{}, make(chan error, 1)
+	other.setAddress()
+	other.start()
+	return &other
 }
 
 // addEndpoint starts an endpoint and lists it in the store.
 func (f *fixture) addEndpoint(id string) {
 	f.t.Helper()
 	e := stand.NewEndpoint(id)
-	server := httptest.NewServer(e)
-	f.t.Cleanup(server.Close)
-	f.t.Cleanup(server.CloseClientConnections)
-	f.endpoints = append(f.endpoints, e)
-	f.addresses[id] = strings.TrimPrefix(server.URL, "http://")
+	host, err := stand.NewHost(f.t.Context(), e)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.endpoints, f.hosts = append(f.endpoints, e), append(f.hosts, host)
+	f.addresses[id] = host.Address()
 	f.listEndpoint(id, "ready")
 }
 
