Quarantine prompt segments under which endpoints crash

Callers saw drafts fail for half a minute at a time: requests that share one segment of their prompts crashed one endpoint after the other, and each crash broke the group.

Cause: an entry counts a lost response against the endpoint only, and what it learns from responses stays with it. With seven entries none sees enough of the crashes.

Evidence: the incident's histories show endpoints that crash 60 to 90 ms after a request with the segment begins to run, at all entries.

Entries now share, through keys with leases in the platform's store (elmnotice), which segments were in flight at a crash and which were cleared. elmcrash judges them in the same way everywhere; a guilty segment is refused at every entry, also at one that starts later. It works because a sound segment is cleared as often as it is requested, and a guilty one never is.

--- /dev/null
+++ b/internal/forward/elmcrash/elmcrash_test.go
@@ -0,0 +1,115 @@
+package elmcrash_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/elmcove/elmcove/internal/forward/elmcrash"
+)
+
+const (
+	second = int64(1000)
+	seeds  = 3
+)
+
+// crashesAt returns one crash for each time, each with the segments.
+func crashesAt(segments string, times ...int64) []elmcrash.Crash {
+	var list []elmcrash.Crash
+	for i, t := range times {
+		list = append(list, elmcrash.Crash{Endpoint: fmt.Sprintf("e%d@%d", i, t), At: t, Segments: strings.Fields(segments)})
+	}
+	return list
+}
+
+// Guards against segments that crash endpoints and are not found, and against sound
+// segments that are in flight at crashes and are blamed for them.
+func TestJudge(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashes   []elmcrash.Crash
+		cleared   map[string][]int64
+		elsewhere map[string][]int64
+		now       int64
+		guilty    string
+		suspects  string
+	}{
+		"no crash":                                 {},
+		"two crashes of a new segment":             {crashes: crashesAt("p", 1000, 6000), suspects: "p"},
+		"three bursts under a new segment":         {crashes: crashesAt("p", 1000, 6000, 11000), guilty: "p", suspects: "p"},
+		"two bursts of three and one":              {crashes: crashesAt("p", 1000, 1001, 1002, 6000), guilty: "p", suspects: "p"},
+		"one burst of any size":                    {crashes: crashesAt("p", 1000, 1001, 1002, 1003, 1004, 1500), suspects: "p"},
+		"one crash that two entries saw":           {crashes: append(crashesAt("p", 1000), crashesAt("p", 1000)...)},
+		"beside one that was cleared before":       {crashes: crashesAt("a p", 1000, 6000, 11000), cleared: map[string][]int64{"a": {500}}, guilty: "p", suspects: "a p"},
+		"beside one that was cleared elsewhere":    {crashes: crashesAt("a p", 1000, 6000, 11000), elsewhere: map[string][]int64{"a": {2000, 7000}}, guilty: "p", suspects: "a p"},
+		"many bursts beside one cleared before":    {crashes: crashesAt("a p", 1000, 6000, 11000, 16000, 21000, 26000), cleared: map[string][]int64{"a": {500}}, guilty: "p", suspects: "a p"},
+		"cleared between the crashes":              {crashes: crashesAt("a", 1000, 6000, 11000), cleared: map[string][]int64{"a": {2000, 7000}}, suspects: "a"},
+		"sound until it began to crash endpoints":  {crashes: crashesAt("p", 1000, 6000, 11000, 16000, 21000), cleared: map[string][]int64{"p": {500}}, guilty: "p", suspects: "p"},
+		"sound before, three crashes":              {crashes: crashesAt("p", 1000, 6000, 11000), cleared: map[string][]int64{"p": {500}}, suspects: "p"},
+		"crashes that no longer count":             {crashes: crashesAt("p", 1000, 6000, 11000), now: 200 * second},
+		"two segments that crash endpoints":        {crashes: append(crashesAt("p", 1000, 6000, 11000), crashesAt("q", 2000, 7000, 12000)...), guilty: "p q", suspects: "p q"},
+		"clock of an entry steps between entries":  {crashes: crashesAt("p", 6000, 1000, 11000), guilty: "p", suspects: "p"},
+		"segments twice in one crash of one entry": {crashes: crashesAt("p p", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := elmcrash.New()
+			for s, times := range c.cleared {
+				for _, at := range times {
+					d.Clear([]string{s}, at)
+				}
+			}
+			guilty, suspects := d.Judge(c.crashes, c.elsewhere, max(c.now, 30*second))
+			if got := strings.Join(guilty, " "); got != c.guilty {
+				t.Errorf("guilty %q, want %q", got, c.guilty)
+			}
+			if got := strings.Join(suspects, " "); got != c.suspects {
+				t.Errorf("suspects %q, want %q", got, c.suspects)
+			}
+		})
+	}
+}
+
+// Guards against a history that grows with the number of segments.
+func TestHistoryIsBounded(t *testing.T) {
+	d := elmcrash.New()
+	for n := range 50000 {
+		d.Clear([]string{fmt.Sprint(n), "popular"}, int64(n))
+	}
+	if got := len(d.Clearances("popular")); got != 16 {
+		t.Errorf("%d clearances of a popular segment, want 16", got)
+	}
+	if d.Clearances("0") != nil || d.Clearances("49999") == nil {
+		t.Error("the oldest segment is kept, or the newest is not")
+	}
+}
+
+// Guards against BUDGET and LOST at several entries that share what they see with a
+// delay: each segment that crashes endpoints is found within five crashes and three
+// seconds, and no other is blamed.
+func TestDetection(t *testing.T) {
+	for name, c := range map[string]func(*world){
+		"crashes of other causes":                     func(w *world) { w.failEvery = 4 * second },
+		"crashes of other causes, group":              func(w *world) { w.failEvery, w.group = 5*second, true },
+		"losses of racks":                             func(w *world) { w.failEvery, w.failCount = 8*second, 4 },
+		"poison":                                      func(w *world) { w.poisonPerSecond = 1 },
+		"poison, group":                               func(w *world) { w.poisonPerSecond, w.group = 1, true },
+		"much poison, group":                          func(w *world) { w.poisonPerSecond, w.group = 6, true },
+		"poison beside crashes of other causes":       func(w *world) { w.poisonPerSecond, w.failEvery = 2, 7*second },
+		"poison beside losses of racks, group":        func(w *world) { w.poisonPerSecond, w.failEvery, w.failCount, w.group = 1, 11*second, 3, true },
+		"poison in few requests, many entries, group": func(w *world) { w.poisonPerSecond, w.entries, w.group = 0.3, 38, true },
+	} {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				w := newWorld(seed)
+				c(w)
+				w.run(45 * second)
+				if blamed := slices.DeleteFunc(w.guilty, func(s string) bool { return s == poison }); len(blamed) > 0 {
+					t.Errorf("sound segments %v are blamed", blamed)
+				}
+				if w.poisonedLate > 3 {
+					t.Errorf("%d requests with the segment sent 3 s after the fifth crash, want 3 at most", w.poisonedLate)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/elmcrash/world_test.go
@@ -0,0 +1,236 @@
+package elmcrash_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/elmcove/elmcove/internal/forward/elmcrash"
+)
+
+const (
+	poison = "poison"
+	// tick is the step of virtual time, in milliseconds like all times here.
+	tick = int64(10)
+	// shareDelay is the time after which other entries know what one has shared.
+	shareDelay = 700
+	// crashDelay is the time from the begin of a response to the crash under it.
+	crashDelay = 70
+	// restartDelay is how long a crashed endpoint is away.
+	restartDelay = 4500
+	// stallTime is how long the other ranks of a group stall before they lose their
+	// responses.
+	stallTime = 1500
+	// formTime is how long a group is broken after its rank is back.
+	formTime = 300
+	// judgeTurns is the number of turns of 100 ms in which all entries judge once.
+	judgeTurns = 4
+	// minProgress is the progress that clears the segments of a lost response.
+	minProgress = 150
+)
+
+// world models entries and endpoints in virtual time.
+type world struct {
+	random          *rand.Rand
+	entries         int
+	poisonPerSecond float64
+	// failEvery is the interval between crashes of other causes, and failCount the
+	// number of endpoints that they hit.
+	failEvery int64
+	failCount int
+	// group means that all endpoints stop if one crashes.
+	group bool
+
+	endpoints []endpointModel
+	detectors []*elmcrash.Detector
+	requests  []requestModel
+	// reports are the crashes as entries saw them, and clearances what they shared.
+	reports    []report
+	clearances []clearance
+	clearedAt  map[string]int64
+	quarantine int64
+	openAt     int64
+	guilty     []string
+
+	poisonCrashes int
+	fifthCrash    int64
+	poisonedLate  int
+}
+
+type endpointModel struct {
+	started int64
+	upAt    int64
+}
+
+type requestModel struct {
+	entry, endpoint int
+	segments        []string
+	began, ends     int64
+}
+
+type report struct {
+	entry int
+	crash elmcrash.Crash
+}
+
+type clearance struct {
+	entry   int
+	at      int64
+	segment string
+	times   []int64
+}
+
+func newWorld(seed uint64) *world {
+	return &world{random: rand.New(rand.NewPCG(seed, 23)), entries: 7, failCount: 1, endpoints: make([]endpointModel, 12), clearedAt: map[string]int64{}}
+}
+
+// run runs the world after 15 s of traffic without faults.
+func (w *world) run(length int64) {
+	for range w.entries {
+		w.detectors = append(w.detectors, elmcrash.New())
+	}
+	for now := int64(0); now < 15*second+length; now += tick {
+		faults := now >= 15*second
+		if now >= w.openAt {
+			w.arrive(now, 56, false)
+			if faults {
+				w.arrive(now, w.poisonPerSecond, true)
+			}
+		}
+		w.finish(now)
+		if faults && w.failEvery > 0 && now%w.failEvery == 0 {
+			first := w.random.IntN(len(w.endpoints))
+			for i := range w.failCount {
+				w.crash((first+i)%len(w.endpoints), now)
+			}
+		}
+		if now%100 == 0 {
+			for e := int(now / 100 % judgeTurns); e < w.entries; e += judgeTurns {
+				w.judge(e, now)
+			}
+		}
+	}
+}
+
+// arrive starts requests at random entries and endpoints.
+func (w *world) arrive(now int64, perSecond float64, poisoned bool) {
+	if w.random.Float64() >= perSecond*float64(tick)/float64(second) {
+		return
+	}
+	if poisoned && w.quarantine > 0 && now >= w.quarantine+shareDelay {
+		return
+	}
+	up := slices.DeleteFunc(slices.Collect(func(yield func(int) bool) {
+		for i := range w.endpoints {
+			if !yield(i) {
+				return
+			}
+		}
+	}), func(i int) bool { return now < w.endpoints[i].upAt })
+	if len(up) == 0 {
+		return
+	}
+	q := requestModel{entry: w.random.IntN(w.entries), endpoint: up[w.random.IntN(len(up))], began: now + 50, ends: now + 50 + 600 + w.random.Int64N(900)}
+	q.segments = []string{fmt.Sprintf("s%d", int(180*math.Pow(w.random.Float64(), 2)))}
+	if poisoned {
+		q.segments = append(q.segments, poison)
+		q.ends = q.began + crashDelay
+		if w.fifthCrash > 0 && now > w.fifthCrash+3*second {
+			w.poisonedLate++
+		}
+	}
+	w.requests = append(w.requests, q)
+}
+
+// finish ends the requests that are complete, and crashes endpoints under poisoned ones.
+func (w *world) finish(now int64) {
+	var poisoned []int
+	w.requests = slices.DeleteFunc(w.requests, func(q requestModel) bool {
+		if now < q.ends {
+			return false
+		}
+		if slices.Contains(q.segments, poison) {
+			poisoned = append(poisoned, q.endpoint)
+			return false
+		}
+		w.detectors[q.entry].Clear(q.segments, now)
+		return true
+	})
+	for _, e := range poisoned {
+		if w.crash(e, now) {
+			w.poisonCrashes++
+			if w.poisonCrashes == 5 {
+				w.fifthCrash = now
+			}
+		}
+	}
+}
+
+// crash ends an endpoint and the requests there, and with a group those at all others.
+func (w *world) crash(e int, now int64) bool {
+	if now < w.endpoints[e].upAt {
+		return false
+	}
+	seen := map[int][]string{}
+	w.requests = slices.DeleteFunc(w.requests, func(q requestModel) bool {
+		if q.endpoint == e {
+			seen[q.entry] = append(seen[q.entry], q.segments...)
+			return true
+		}
+		if w.group && q.endpoint != e && !slices.Contains(q.segments, poison) {
+			if now-q.began >= minProgress {
+				w.detectors[q.entry].Clear(q.segments, now+stallTime)
+			} else if now > q.began {
+				w.detectors[q.entry].ClearKnown(q.segments, now+stallTime)
+			}
+			return true
+		}
+		return false
+	})
+	for entry, segments := range seen {
+		incarnation := fmt.Sprintf("e%d@%d", e, w.endpoints[e].started)
+		w.reports = append(w.reports, report{entry, elmcrash.Crash{Endpoint: incarnation, At: now, Segments: segments}})
+	}
+	w.endpoints[e] = endpointModel{started: now, upAt: now + restartDelay}
+	if w.group {
+		w.openAt = now + restartDelay + formTime
+	}
+	return true
+}
+
+// judge lets an entry judge by what it knows, and shares its clearances of suspects.
+func (w *world) judge(e int, now int64) {
+	var crashes []elmcrash.Crash
+	for _, r := range w.reports {
+		if r.entry == e || r.crash.At+shareDelay <= now {
+			crashes = append(crashes, r.crash)
+		}
+	}
+	elsewhere := map[string][]int64{}
+	latest := map[string]clearance{}
+	for _, c := range w.clearances {
+		if c.entry != e && c.at+shareDelay <= now {
+			latest[fmt.Sprint(c.entry, c.segment)] = c
+		}
+	}
+	for _, c := range latest {
+		elsewhere[c.segment] = append(elsewhere[c.segment], c.times...)
+	}
+	guilty, suspects := w.detectors[e].Judge(crashes, elsewhere, now)
+	for _, s := range guilty {
+		if s == poison && w.quarantine == 0 {
+			w.quarantine = now
+		}
+		if !slices.Contains(w.guilty, s) {
+			w.guilty = append(w.guilty, s)
+		}
+	}
+	for _, s := range suspects {
+		key := fmt.Sprint(e, s)
+		if times := w.detectors[e].Clearances(s); len(times) > 0 && (w.clearedAt[key] == 0 || now-w.clearedAt[key] >= 5*second) {
+			w.clearedAt[key] = now
+			w.clearances = append(w.clearances, clearance{e, now, s, times})
+		}
+	}
+}
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -90,11 +90,13 @@
 	Paused
 	// Leaving means that all endpoints announced that they are leaving.
 	Leaving
+	// Quarantined means that endpoints crash under a segment of the request's prompt.
+	Quarantined
 )
 
 // String returns the name of a verdict for logs.
 func (v Verdict) String() string {
-	return [...]string{"placed", "absent", "full", "broken", "paused", "leaving"}[v]
+	return [...]string{"placed", "absent", "full", "broken", "paused", "leaving", "quarantined"}[v]
 }
 
 // Outcome is the result of a request at an endpoint.
@@ -133,6 +135,8 @@
 	// CallerRetry means that the caller has sent this request before, and was refused
 	// or lost its response. The time of the request's objective has then passed.
 	CallerRetry bool
+	// Segments are the shared segments of the request's prompt.
+	Segments []string
 }
 
 // Placer chooses endpoints for requests. It is not safe for concurrent use.
@@ -147,6 +151,9 @@
 	services  map[string]*service
 	slow      elmslow.List
 	backoff   *elmbackoff.List
+	// quarantine holds the prompt segments that no endpoint may get, with the end of
+	// their quarantine.
+	quarantine map[string]time.Duration
 }
 
 type endpoint struct {
@@ -213,6 +220,19 @@
 // SetSlow sets the list of slow ranks. All ranks of a group wait for them.
 func (p *Placer) SetSlow(list elmslow.List) { p.slow = list }
 
+// SetQuarantine sets the prompt segments that no endpoint may get, with the end of their
+// quarantine.
+func (p *Placer) SetQuarantine(segments map[string]time.Duration) { p.quarantine = segments }
+
+// QuarantineRemaining returns the time until none of the segments is in quarantine, or 0.
+func (p *Placer) QuarantineRemaining(segments []string, now time.Duration) time.Duration {
+	remaining := time.Duration(0)
+	for _, s := range segments {
+		remaining = max(remaining, p.quarantine[s]-now)
+	}
+	return remaining
+}
+
 // Loads returns the number of this entry's requests at each endpoint, by EndpointKey.
 func (p *Placer) Loads() map[uint32]int {
 	loads := map[uint32]int{}
@@ -227,7 +247,10 @@
 // Pick chooses the endpoint with the lowest cost among those that have free capacity.
 // It chooses slow ranks only if all members are slow.
 func (p *Placer) Pick(q Query, members []elmsnapshot.Member, now time.Duration) (elmsnapshot.Member, Verdict) {
-	if p.IsBroken(q.Service.Name, now) {
+	switch {
+	case p.QuarantineRemaining(q.Segments, now) > 0:
+		return elmsnapshot.Member{}, Quarantined
+	case p.IsBroken(q.Service.Name, now):
 		return elmsnapshot.Member{}, Broken
 	}
 	members, verdict := p.accepting(q, members, now)
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -54,14 +54,17 @@
 	callerRetry bool
 	member      elmsnapshot.Member
 	verdict     elmplace.Verdict
-	// pause is the time until the first paused endpoint accepts requests, if verdict
-	// is Paused.
+	// pause is the time until the first paused endpoint accepts requests if verdict is
+	// Paused, or until the quarantine ends if it is Quarantined.
 	pause time.Duration
 	// slotHeld is set while the request occupies a slot of member.
 	slotHeld bool
 	// reserved is set if a slot was taken before the lifecycle asked for one.
 	reserved bool
 	sentAt   time.Duration
+	// progressFrom and progressTo are the times of the first and the last event from
+	// member, or 0.
+	progressFrom, progressTo time.Duration
 	// firstByte is the time of the first byte sent to the caller, or 0.
 	firstByte time.Duration
 	response  *elmexchange.Response
@@ -149,7 +152,7 @@
 	for {
 		message := d.tryPlace(c)
 		now := elmclock.Now()
-		hopeless := d.verdict == elmplace.Leaving || d.verdict == elmplace.Paused && now+d.pause >= until
+		hopeless := d.verdict == elmplace.Leaving || d.verdict == elmplace.Quarantined || d.verdict == elmplace.Paused && now+d.pause >= until
 		if _, unplaced := message.(elmlifecycle.Unplaced); !unplaced || now >= until || hopeless {
 			return message
 		}
@@ -195,15 +198,19 @@
 	members := snapshot.Members(d.service.Name, now)
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
-	query := elmplace.Query{Service: d.service, Tried: c.Tried, CallerRetry: d.callerRetry}
+	query := elmplace.Query{Service: d.service, Tried: c.Tried, CallerRetry: d.callerRetry, Segments: d.requestInfo.Segments}
 	d.member, d.verdict = d.router.placer.Pick(query, members, now)
 	switch d.verdict {
 	case elmplace.NoEndpoint, elmplace.Paused, elmplace.Leaving:
 		members = snapshot.LastResort(d.service.Name, now)
 		d.member, d.verdict = d.router.placer.Pick(query, members, now)
 	}
-	if d.verdict == elmplace.Paused {
+	switch d.verdict {
+	case elmplace.Paused:
 		d.pause = d.router.placer.PauseRemaining(members, now)
+	case elmplace.Quarantined:
+		d.pause = d.router.placer.QuarantineRemaining(d.requestInfo.Segments, now)
+		d.router.recordQuarantined(d.requestInfo.Segments, now)
 	}
 	if d.verdict != elmplace.Placed {
 		return elmlifecycle.Unplaced{}
@@ -248,6 +255,7 @@
 		forwardInfo.LastEventID = d.splitter.LastID()
 		d.log(elmlog.RequestResumed)
 	}
+	d.progressFrom, d.progressTo = 0, 0
 	response, err := d.router.exchange.Do(d.ctx, d.member.Address, elmexchange.Request{
 		Method: d.request.Method, Target: d.request.RequestURI, Host: d.request.Host,
 		Header: platform.ForwardedRequestHeaders(d.request.Header, forwardInfo), Body: d.body, Attempt: d.requestInfo.Attempt,
@@ -349,7 +357,7 @@
 		retryAfter = elmretryafter.BrokenGroupDelay
 	}
 	after := elmretryafter.After(d.requestInfo.Deadline-held, retryAfter, rand.Float64)
-	if d.verdict == elmplace.Paused && d.pause > 0 {
+	if (d.verdict == elmplace.Paused || d.verdict == elmplace.Quarantined) && d.pause > 0 {
 		after = elmretryafter.AfterPause(d.pause, rand.Float64)
 	}
 	d.router.respond(d.writer, d.requestInfo, http.StatusServiceUnavailable, after)
@@ -373,6 +381,8 @@
 	outcome := elmplace.Served
 	if d.response != nil && d.response.Status >= http.StatusInternalServerError {
 		outcome = elmplace.Failed
+	} else {
+		d.router.clearSegments(d.requestInfo.Segments, nil)
 	}
 	d.release(outcome)
 	d.router.meter.Count(elmmeter.Requests, "outcome", "whole")
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -25,8 +25,10 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/expert/elmplanner"
+	"github.com/elmcove/elmcove/internal/forward/elmcrash"
 	"github.com/elmcove/elmcove/internal/forward/elmexchange"
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
+	"github.com/elmcove/elmcove/internal/forward/elmnotice"
 	"github.com/elmcove/elmcove/internal/forward/elmpeers"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
@@ -76,14 +78,24 @@
 	follower *elmfollower.Follower
 	peers    *elmpeers.Peers
 	exchange *elmexchange.Client
+	board    *elmnotice.Board
 	draining atomic.Bool
 	ready    atomic.Bool
+	// informed is set when the notices of a first snapshot have been applied.
+	informed atomic.Bool
 
 	mutex   sync.Mutex
 	placer  *elmplace.Placer
 	polling map[string]bool
 	// lost holds the endpoints that are being checked for a crash, by ID.
-	lost map[string]*lostResponses
+	lost     map[string]*lostResponses
+	detector *elmcrash.Detector
+	// quarantined holds the segments in quarantine, with its end.
+	quarantined map[string]time.Duration
+	// quarantinedAt is when a request was last refused for a segment in quarantine.
+	quarantinedAt map[string]time.Duration
+	// clearedAt is when this entry last shared its clearances of a segment.
+	clearedAt map[string]time.Duration
 	// longestDeadline is the longest deadline seen on each route.
 	longestDeadline map[string]time.Duration
 }
@@ -96,6 +108,9 @@
 		ranks:           platform.NewRankClient(reportTimeout),
 		polling:         map[string]bool{},
 		lost:            map[string]*lostResponses{},
+		detector:        elmcrash.New(),
+		quarantinedAt:   map[string]time.Duration{},
+		clearedAt:       map[string]time.Duration{},
 		longestDeadline: map[string]time.Duration{},
 		placer: elmplace.New(elmplace.Settings{
 			Datacentre: settings.Datacentre,
@@ -104,6 +119,7 @@
 			ColdFactor:  settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack,
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	r.board = elmnotice.New(r.store, settings.MinLeaseTTL, logger)
 	r.peers = elmpeers.New(r.internalAddress(), settings.Seeds)
 	r.follower = elmfollower.New(r.store, logger, elmfollower.WithPeers(r.peers.FetchSnapshots), elmfollower.WithSharedReader(r.readFromEntry),
 		elmfollower.WithGrace(settings.Bounds.LeaveDelay, settings.Bounds.WithdrawDelay))
@@ -162,6 +178,8 @@
 	go r.register(base)
 	go r.reportLoads(base)
 	go r.cleanUp(base)
+	go r.board.Run(base)
+	go r.watchNotices(base)
 	planning, endPlanning := context.WithCancel(base)
 	defer endPlanning()
 	go elmplanner.New(r.settings, r.store, r.follower.Snapshot, r.logger).Run(planning)
@@ -234,7 +252,7 @@
 		snapshot := r.follower.Snapshot()
 		age := snapshot.Age(elmclock.Now())
 		limit := time.Duration(float64(r.settings.Bounds.RevokeDelay) * readyAgeRatio)
-		ready := !r.draining.Load() && snapshot.HasConfig() && age < limit
+		ready := !r.draining.Load() && snapshot.HasConfig() && r.informed.Load() && age < limit
 		if r.ready.Swap(ready) != ready {
 			r.logger.Event(elmlog.ReadinessChanged, "ready", ready, "draining", r.draining.Load(), "version", snapshot.Catalog().Version(), "age", age)
 		}
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -137,7 +137,7 @@
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
 	placer := d.router.placer
-	member, verdict := placer.Pick(elmplace.Query{Service: d.service, Tried: d.lifecycle.Tried()}, members, now)
+	member, verdict := placer.Pick(elmplace.Query{Service: d.service, Tried: d.lifecycle.Tried(), Segments: d.requestInfo.Segments}, members, now)
 	if verdict != elmplace.Placed || placer.IsSlow(member) || !placer.TakeRetry(d.service.Name, now) {
 		return member, false
 	}
@@ -160,6 +160,10 @@
 	if d.firstByte == 0 {
 		d.firstByte = now
 	}
+	if d.progressFrom == 0 {
+		d.progressFrom = now
+	}
+	d.progressTo = now
 	d.router.recordProgress(d.service.Name, d.member.ID, now)
 	if err := http.NewResponseController(d.writer).Flush(); err != nil {
 		return errCallerDisconnected
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -69,6 +69,8 @@
 	PauseEnded          Event = 1543
 	PauseInvalid        Event = 1544
 	EndpointCrashed     Event = 1551
+	SegmentQuarantined  Event = 1552
+	SegmentReleased     Event = 1553
 	ProcessResumed      Event = 1601
 	TracesLost          Event = 1701
 	CredentialRejected  Event = 1801
@@ -141,6 +143,8 @@
 	PauseEnded:          {hclog.Info, "endpoint serves again after its pause", adviceNone},
 	PauseInvalid:        {hclog.Warn, "endpoint's Retry-After can't be parsed", "It counts as none. Fix the endpoint."},
 	EndpointCrashed:     {hclog.Warn, "endpoint crashed with requests in flight", "Check the endpoint's own log. If several crashed under one prompt segment, find its caller."},
+	SegmentQuarantined:  {hclog.Warn, "prompt segment in quarantine, since endpoints crash under it", "Find the caller of the segment. To release it, delete its key under notices/quarantine/ in the store."},
+	SegmentReleased:     {hclog.Info, "prompt segment released from quarantine", adviceNone},
 	ProcessResumed:      {hclog.Warn, "process resumed after suspension", "Waiting keyed requests are refused as unknown. Check whether the instance was paused or short of CPU time."},
 	TracesLost:          {hclog.Warn, "traces could not be exported", "Check the traces setting and the collector."},
 	CredentialRejected:  {hclog.Info, "credential rejected", "Check the workspace's credential."},
