Do not blame popular segments at an entry that has just started

An entry without a history saw four crashes with the segment in flight and nothing that spoke for it, and shared its verdict.

An entry now blames no segment in its first 5 s, takes up the clearances that it shared before a restart, and needs more crashes for a segment that most crashes happened without.

--- a/internal/forward/elmcrash/elmcrash.go
+++ b/internal/forward/elmcrash/elmcrash.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	detector := elmcrash.New()
+//	detector := elmcrash.New(now)
 //	detector.Clear(segments, now)
 //	guilty, suspects := detector.Judge(crashes, clearedElsewhere, now)
 package elmcrash
@@ -31,6 +31,9 @@
 	// objectionTime is the time in which other entries that cleared a segment share
 	// that after a crash.
 	objectionTime = int64(time.Second / time.Millisecond)
+	// minHistory is how long a detector collects clearances before it blames segments.
+	// Until then it only follows what other entries have found.
+	minHistory = 5 * int64(time.Second/time.Millisecond)
 	// suspectMargin is the number of further crashes that would make a suspect guilty.
 	suspectMargin = 2
 	// minSuspectCrashes is the number of crashes that make a segment suspect.
@@ -55,10 +58,11 @@
 	// recent and older are two generations of the history, by segment, so that its
 	// size is bounded.
 	recent, older map[string][]int64
+	startedAt     int64
 }
 
 // New returns a Detector without a history.
-func New() *Detector { return &Detector{recent: map[string][]int64{}} }
+func New(now int64) *Detector { return &Detector{recent: map[string][]int64{}, startedAt: now} }
 
 // Clear records that an endpoint wrote a response on the segments and lived on.
 func (d *Detector) Clear(segments []string, now int64) {
@@ -81,6 +85,17 @@
 	}
 }
 
+// Restore adds clearances that this entry shared before it was restarted.
+func (d *Detector) Restore(segment string, shared []int64) {
+	known := d.Clearances(segment)
+	isNew := func(t int64) bool { return !slices.Contains(known, t) }
+	if !slices.ContainsFunc(shared, isNew) || len(known) == maxClearances {
+		return
+	}
+	times := slices.Compact(slices.Sorted(slices.Values(slices.Concat(known, shared))))
+	d.recent[segment] = times[max(0, len(times)-maxClearances):]
+}
+
 // Clearances returns when a segment was last cleared.
 func (d *Detector) Clearances(segment string) []int64 {
 	if times, ok := d.recent[segment]; ok {
@@ -99,6 +114,9 @@
 	// clearedBefore and clearedSince count the clearances before and after the first
 	// crash.
 	clearedBefore, clearedSince int
+	// allCrashes is the number of crashes from the first to the last one, whatever was
+	// in flight.
+	allCrashes int
 }
 
 // Judge returns the segments under which endpoints crash, and those that are suspect
@@ -124,10 +142,12 @@
 		}
 	}
 	slices.Sort(suspects)
-	for len(remaining) > 0 {
+	for len(remaining) > 0 && now-d.startedAt >= minHistory {
 		var list []evidence
 		for s := range remaining {
-			if e := d.weigh(s, bySegment[s], elsewhere[s], explained, now); e.isGuilty() {
+			e := d.weigh(s, bySegment[s], elsewhere[s], explained, now)
+			e.allCrashes = countBetween(crashes, e.crashes)
+			if e.isGuilty() {
 				list = append(list, e)
 			}
 		}
@@ -186,6 +206,17 @@
 	return e
 }
 
+// countBetween returns the number of crashes from the first to the last of some times.
+func countBetween(crashes []Crash, times []int64) int {
+	n := 0
+	for _, c := range crashes {
+		if len(times) > 0 && c.At >= times[0] && c.At <= times[len(times)-1] {
+			n++
+		}
+	}
+	return n
+}
+
 // countSince returns the number of times that are not before start.
 func countSince(times []int64, start int64) int {
 	n := 0
@@ -197,13 +228,15 @@
 	return n
 }
 
-// isGuilty reports whether the endpoints crashed under the segment. A segment that was
-// cleared before needs more crashes.
+// isGuilty reports whether the endpoints crashed under the segment. More crashes are
+// needed if it was cleared before, or if most crashes happened without it.
 func (e evidence) isGuilty() bool {
 	n := len(e.crashes)
 	switch {
 	case n <= 2*e.clearedSince:
 		return false
+	case e.clearedBefore == 0 && 2*n < e.allCrashes:
+		return e.bursts >= 4 && n >= 5
 	case e.clearedBefore == 0:
 		return e.bursts >= 3 || e.bursts >= 2 && n >= 4
 	}
--- a/internal/forward/elmcrash/elmcrash_test.go
+++ b/internal/forward/elmcrash/elmcrash_test.go
@@ -1,6 +1,7 @@
 package elmcrash_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -46,19 +47,20 @@
 		"cleared between the crashes":              {crashes: crashesAt("a", 1000, 6000, 11000), cleared: map[string][]int64{"a": {2000, 7000}}, suspects: "a"},
 		"sound until it began to crash endpoints":  {crashes: crashesAt("p", 1000, 6000, 11000, 16000, 21000), cleared: map[string][]int64{"p": {500}}, guilty: "p", suspects: "p"},
 		"sound before, three crashes":              {crashes: crashesAt("p", 1000, 6000, 11000), cleared: map[string][]int64{"p": {500}}, suspects: "p"},
+		"no history yet":                           {crashes: crashesAt("p", 1000, 2500, 4000), now: 4500, suspects: "p"},
 		"crashes that no longer count":             {crashes: crashesAt("p", 1000, 6000, 11000), now: 200 * second},
 		"two segments that crash endpoints":        {crashes: append(crashesAt("p", 1000, 6000, 11000), crashesAt("q", 2000, 7000, 12000)...), guilty: "p q", suspects: "p q"},
 		"clock of an entry steps between entries":  {crashes: crashesAt("p", 6000, 1000, 11000), guilty: "p", suspects: "p"},
 		"segments twice in one crash of one entry": {crashes: crashesAt("p p", 1000)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := elmcrash.New()
+			d := elmcrash.New(0)
 			for s, times := range c.cleared {
 				for _, at := range times {
 					d.Clear([]string{s}, at)
 				}
 			}
-			guilty, suspects := d.Judge(c.crashes, c.elsewhere, max(c.now, 30*second))
+			guilty, suspects := d.Judge(c.crashes, c.elsewhere, cmp.Or(c.now, 30*second))
 			if got := strings.Join(guilty, " "); got != c.guilty {
 				t.Errorf("guilty %q, want %q", got, c.guilty)
 			}
@@ -71,7 +73,7 @@
 
 // Guards against a history that grows with the number of segments.
 func TestHistoryIsBounded(t *testing.T) {
-	d := elmcrash.New()
+	d := elmcrash.New(0)
 	for n := range 50000 {
 		d.Clear([]string{fmt.Sprint(n), "popular"}, int64(n))
 	}
@@ -96,6 +98,10 @@
 		"much poison, group":                          func(w *world) { w.poisonPerSecond, w.group = 6, true },
 		"poison beside crashes of other causes":       func(w *world) { w.poisonPerSecond, w.failEvery = 2, 7*second },
 		"poison beside losses of racks, group":        func(w *world) { w.poisonPerSecond, w.failEvery, w.failCount, w.group = 1, 11*second, 3, true },
+		"restarts beside crashes of other causes":     func(w *world) { w.failEvery, w.restartEvery = 3*second, 2*second },
+		"restarts beside losses of racks, group":      func(w *world) { w.failEvery, w.failCount, w.group, w.restartEvery = 6*second, 3, true, 2*second },
+		"restarts beside poison":                      func(w *world) { w.poisonPerSecond, w.restartEvery = 2, 3*second },
+		"restarts beside poison, group":               func(w *world) { w.poisonPerSecond, w.group, w.restartEvery = 2, true, 3*second },
 		"poison in few requests, many entries, group": func(w *world) { w.poisonPerSecond, w.entries, w.group = 0.3, 38, true },
 	} {
 		for seed := range uint64(seeds) {
--- a/internal/forward/elmcrash/world_test.go
+++ b/internal/forward/elmcrash/world_test.go
@@ -39,6 +39,9 @@
 	// number of endpoints that they hit.
 	failEvery int64
 	failCount int
+	// restartEvery is the interval between restarts of an entry, which forgets its
+	// history, or 0.
+	restartEvery int64
 	// group means that all endpoints stop if one crashes.
 	group bool
 
@@ -88,7 +91,7 @@
 // run runs the world after 15 s of traffic without faults.
 func (w *world) run(length int64) {
 	for range w.entries {
-		w.detectors = append(w.detectors, elmcrash.New())
+		w.detectors = append(w.detectors, elmcrash.New(0))
 	}
 	for now := int64(0); now < 15*second+length; now += tick {
 		faults := now >= 15*second
@@ -105,6 +108,9 @@
 				w.crash((first+i)%len(w.endpoints), now)
 			}
 		}
+		if faults && w.restartEvery > 0 && now%w.restartEvery == 0 {
+			w.detectors[w.random.IntN(w.entries)] = elmcrash.New(now)
+		}
 		if now%100 == 0 {
 			for e := int(now / 100 % judgeTurns); e < w.entries; e += judgeTurns {
 				w.judge(e, now)
@@ -210,7 +216,9 @@
 	elsewhere := map[string][]int64{}
 	latest := map[string]clearance{}
 	for _, c := range w.clearances {
-		if c.entry != e && c.at+shareDelay <= now {
+		if c.entry == e {
+			w.detectors[e].Restore(c.segment, c.times)
+		} else if c.at+shareDelay <= now {
 			latest[fmt.Sprint(c.entry, c.segment)] = c
 		}
 	}
--- a/internal/forward/elmrouter/crash.go
+++ b/internal/forward/elmrouter/crash.go
@@ -137,21 +137,28 @@
 func (r *Router) judgeSegments(notices map[string]string, now time.Duration) {
 	wall := time.Now().UnixMilli()
 	var crashes []elmcrash.Crash
-	clearances, quarantine := map[string][]int64{}, map[string]time.Duration{}
+	clearances, own, quarantine := map[string][]int64{}, map[string][]int64{}, map[string]time.Duration{}
 	for key, value := range notices {
 		if rest, ok := strings.CutPrefix(key, crashKey); ok {
 			incarnation, _, _ := strings.Cut(rest, "/")
 			n := decodeNotice[crashNotice](value)
 			crashes = append(crashes, elmcrash.Crash{Endpoint: incarnation, At: n.At, Segments: n.Segments})
 		} else if rest, ok := strings.CutPrefix(key, clearanceKey); ok {
-			if segment, entry, _ := strings.Cut(rest, "/"); entry != r.settings.Instance {
-				clearances[segment] = append(clearances[segment], decodeNotice[clearanceNotice](value).Times...)
+			segment, entry, _ := strings.Cut(rest, "/")
+			times := decodeNotice[clearanceNotice](value).Times
+			if entry == r.settings.Instance {
+				own[segment] = times
+			} else {
+				clearances[segment] = append(clearances[segment], times...)
 			}
 		} else if segment, ok := strings.CutPrefix(key, quarantineKey); ok {
 			quarantine[segment] = now + time.Duration(decodeNotice[quarantineNotice](value).Until-wall)*time.Millisecond
 		}
 	}
 	r.mutex.Lock()
+	for s, times := range own {
+		r.detector.Restore(s, times)
+	}
 	guilty, suspects := r.detector.Judge(crashes, clearances, wall)
 	r.mutex.Unlock()
 	for _, s := range guilty {
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -108,7 +108,7 @@
 		ranks:           platform.NewRankClient(reportTimeout),
 		polling:         map[string]bool{},
 		lost:            map[string]*lostResponses{},
-		detector:        elmcrash.New(),
+		detector:        elmcrash.New(time.Now().UnixMilli()),
 		quarantinedAt:   map[string]time.Duration{},
 		clearedAt:       map[string]time.Duration{},
 		longestDeadline: map[string]time.Duration{},
