Log the rate limits that endpoints announce

Logs can't tell whether entries see the limit that an endpoint names. Events 1545 to 1547 show each change that an entry sees. No decision changes.

--- a/internal/forward/elmrouter/announce.go
+++ b/internal/forward/elmrouter/announce.go
@@ -18,6 +18,7 @@
 	pauseBegins := info.NotRun && info.Pause > 0 && d.router.placer.SetPause(d.member, now+info.Pause, now)
 	pauseEnds := info.Sealed && d.router.placer.EndPause(d.member.ID, d.sentAt)
 	d.router.mutex.Unlock()
+	d.logRateLimit(info)
 	if leaving {
 		d.logAnnouncement(elmlog.LeavingAnnounced)
 	}
@@ -32,6 +33,28 @@
 	}
 }
 
+// logRateLimit logs a rate limit that the endpoint announced, if it is new.
+func (d *delivery) logRateLimit(info platform.ResponseInfo) {
+	r := d.router
+	r.mutex.Lock()
+	before, known := r.rateLimits[d.member.ID]
+	switch {
+	case info.HasRateLimit:
+		r.rateLimits[d.member.ID] = info.RateLimit
+	case known:
+		delete(r.rateLimits, d.member.ID)
+	}
+	r.mutex.Unlock()
+	switch {
+	case info.InvalidRateLimit != "":
+		d.logAnnouncement(elmlog.RateLimitInvalid, "value", info.InvalidRateLimit)
+	case info.HasRateLimit && (!known || before != info.RateLimit):
+		d.logAnnouncement(elmlog.RateLimitAnnounced, "perSecond", info.RateLimit)
+	case known && !info.HasRateLimit:
+		d.logAnnouncement(elmlog.RateLimitEnded)
+	}
+}
+
 // logAnnouncement logs an event about the endpoint of the request. The field age is the
 // time since the request was sent there.
 func (d *delivery) logAnnouncement(event elmlog.Event, more ...any) {
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -90,6 +90,8 @@
 	// lost holds the endpoints that are being checked for a crash, by ID.
 	lost     map[string]*lostResponses
 	detector *elmcrash.Detector
+	// rateLimits holds the requests per second that endpoints announced, by ID.
+	rateLimits map[string]float64
 	// quarantined holds the segments in quarantine, with its end.
 	quarantined map[string]time.Duration
 	// quarantinedAt is when a request was last refused for a segment in quarantine.
@@ -109,6 +111,7 @@
 		polling:         map[string]bool{},
 		lost:            map[string]*lostResponses{},
 		detector:        elmcrash.New(time.Now().UnixMilli()),
+		rateLimits:      map[string]float64{},
 		quarantinedAt:   map[string]time.Duration{},
 		clearedAt:       map[string]time.Duration{},
 		longestDeadline: map[string]time.Duration{},
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -68,6 +68,9 @@
 	PauseAnnounced      Event = 1542
 	PauseEnded          Event = 1543
 	PauseInvalid        Event = 1544
+	RateLimitAnnounced  Event = 1545
+	RateLimitInvalid    Event = 1546
+	RateLimitEnded      Event = 1547
 	EndpointCrashed     Event = 1551
 	SegmentQuarantined  Event = 1552
 	SegmentReleased     Event = 1553
@@ -142,6 +145,9 @@
 	PauseAnnounced:      {hclog.Info, "endpoint asked for a pause", "Check the endpoint's load if it repeats."},
 	PauseEnded:          {hclog.Info, "endpoint serves again after its pause", adviceNone},
 	PauseInvalid:        {hclog.Warn, "endpoint's Retry-After can't be parsed", "It counts as none. Fix the endpoint."},
+	RateLimitAnnounced:  {hclog.Info, "endpoint announced a rate limit", "Check the endpoint's load if it persists."},
+	RateLimitInvalid:    {hclog.Warn, "endpoint's rate limit can't be parsed", "It counts as none. Fix the endpoint."},
+	RateLimitEnded:      {hclog.Info, "endpoint's rate limit ended", adviceNone},
 	EndpointCrashed:     {hclog.Warn, "endpoint crashed with requests in flight", "Check the endpoint's own log. If several crashed under one prompt segment, find its caller."},
 	SegmentQuarantined:  {hclog.Warn, "prompt segment in quarantine, since endpoints crash under it", "Find the caller of the segment. To release it, delete its key under notices/quarantine/ in the store."},
 	SegmentReleased:     {hclog.Info, "prompt segment released from quarantine", adviceNone},
