Share the request rates that endpoints announce among the entries

Callers waited at an endpoint that had said that it can't keep up.

Cause: entries did not read the limit, and one that keeps to it alone would take all of it, as would each other.

Entries now divide an announced rate among owners that all find by rendezvous hashing, and share it by a notice, so that those that have not seen it keep to it as well. It works because the shares add up to the rate and few requests can be saved up.

--- a/internal/forward/elmnotice/elmnotice.go
+++ b/internal/forward/elmnotice/elmnotice.go
@@ -56,6 +56,9 @@
 	expiresAt time.Duration
 	// writtenAt is when the notice was last written, or 0.
 	writtenAt time.Duration
+	// listed means that the store has listed the notice, so that another value there
+	// is a later one.
+	listed bool
 }
 
 // Board holds this entry's notices. It is safe for concurrent use.
@@ -103,13 +106,15 @@
 		}
 		value, found := listed[key]
 		switch {
-		case !found && r.writtenAt > 0 && now-r.writtenAt > settleTime:
-			r.writtenAt = 0
-			b.own[key] = r
-		case found && value != r.Value && r.writtenAt > 0 && now-r.writtenAt > settleTime:
+		case found && value == r.Value:
+			r.listed = true
+		case found && r.listed:
 			delete(b.own, key) // Another entry has written a later value.
 			continue
+		case !found && r.writtenAt > 0 && now-r.writtenAt > settleTime:
+			r.writtenAt, r.listed = 0, false
 		}
+		b.own[key] = r
 		listed[key] = r.Value
 	}
 	return listed
--- a/internal/forward/elmnotice/elmnotice_test.go
+++ b/internal/forward/elmnotice/elmnotice_test.go
@@ -107,6 +107,7 @@
 	b.Post(elmnotice.Notice{Key: "k", Value: "v", TTL: 30 * time.Second}, now)
 	b.Post(elmnotice.Notice{Key: "replaced", Value: "v", TTL: time.Minute}, now)
 	eventually(t, "written", func() bool { return len(f.listed(t)) == 2 })
+	b.Merge(f.listed(t), now)
 	if got := b.Merge(map[string]string{"k": "v", "replaced": "w"}, now+20*time.Second); got["k"] != "v" || got["replaced"] != "w" {
 		t.Errorf("got %v", got)
 	}
--- a/internal/forward/elmplace/announcements.go
+++ b/internal/forward/elmplace/announcements.go
@@ -63,3 +63,19 @@
 func (p *Placer) EndPause(id string, sentAt time.Duration) bool {
 	return p.backoff.Served(id, sentAt)
 }
+
+// SetRateLimit records how many requests per second an endpoint accepts from all entries
+// together, and reports whether that is new.
+func (p *Placer) SetRateLimit(id string, started int64, perSecond float64, now time.Duration) bool {
+	return p.rates.Set(id, started, perSecond, now)
+}
+
+// EndRateLimit records that an endpoint announces no rate any more, and reports whether
+// it had one.
+func (p *Placer) EndRateLimit(id string, started int64) bool { return p.rates.End(id, started) }
+
+// hasRateCapacity reports whether this entry's share of the rate that an endpoint
+// announced allows one more request.
+func (p *Placer) hasRateCapacity(m elmsnapshot.Member, now time.Duration) bool {
+	return p.rates.Allows(m.ID, m.Started, p.entryNames, p.settings.Entry, p.entries, now)
+}
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -26,6 +26,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmslow"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/forward/elmwindow"
+	"github.com/elmcove/elmcove/internal/limit/elmrate"
 )
 
 const (
@@ -112,8 +113,9 @@
 	Ignored
 )
 
-// Settings hold the entry's data centre and the limits that all entries share.
+// Settings hold the entry's name, its data centre and the limits that all entries share.
 type Settings struct {
+	Entry      string
 	Datacentre string
 	// RetryRatio is the allowed number of retries per request, and RetryBurst the
 	// number that is allowed in addition, both in each RetryWindow.
@@ -146,11 +148,14 @@
 	// entries is the number of entries, and countedAt when it was last set.
 	entries   int
 	countedAt time.Duration
-	endpoints map[string]*endpoint
-	peers     map[string]peer
-	services  map[string]*service
-	slow      elmslow.List
-	backoff   *elmbackoff.List
+	// entryNames are the names of the entries, as of the last count that was used.
+	entryNames []string
+	endpoints  map[string]*endpoint
+	peers      map[string]peer
+	services   map[string]*service
+	slow       elmslow.List
+	backoff    *elmbackoff.List
+	rates      *elmrate.List
 	// quarantine holds the prompt segments that no endpoint may get, with the end of
 	// their quarantine.
 	quarantine map[string]time.Duration
@@ -195,7 +200,7 @@
 	return &Placer{
 		settings: settings, random: random, entries: 1,
 		endpoints: map[string]*endpoint{}, peers: map[string]peer{}, services: map[string]*service{},
-		backoff: elmbackoff.New(),
+		backoff: elmbackoff.New(), rates: elmrate.New(random),
 	}
 }
 
@@ -208,6 +213,16 @@
 	}
 }
 
+// SetEntries sets the names of the entries that share the limits, including this one,
+// in the same way as SetEntryCount.
+func (p *Placer) SetEntries(names []string, now time.Duration) {
+	counts := len(names) >= p.entries || now-p.countedAt > entryCountTTL
+	if counts && !slices.Equal(names, p.entryNames) {
+		p.entryNames = names
+	}
+	p.SetEntryCount(len(names), now)
+}
+
 // EndpointKey returns the hash that identifies an endpoint in messages between entries.
 func EndpointKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
@@ -287,7 +302,7 @@
 	switch {
 	case now < p.endpoint(m.ID).brokenUntil:
 		return Broken
-	case load >= p.limit(q, m) || !p.hasColdCapacity(q.Service, m, now):
+	case load >= p.limit(q, m) || !p.hasColdCapacity(q.Service, m, now) || !p.hasRateCapacity(m, now):
 		return Full
 	}
 	return Placed
@@ -375,6 +390,7 @@
 	e := p.endpoint(id)
 	e.inFlight++
 	e.recent.Add(now)
+	p.rates.Take(id)
 }
 
 // End records the end of a request at an endpoint. Elapsed is the time to the first
@@ -397,6 +413,7 @@
 // requests.
 func (p *Placer) Forget(listed func(id string) bool, now time.Duration) {
 	p.backoff.Forget(listed, now)
+	p.rates.Forget(listed, now)
 	for id, e := range p.endpoints {
 		if e.inFlight == 0 && !listed(id) {
 			delete(p.endpoints, id)
--- a/internal/forward/elmrouter/announce.go
+++ b/internal/forward/elmrouter/announce.go
@@ -1,6 +1,8 @@
 package elmrouter
 
 import (
+	"time"
+
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
@@ -18,7 +20,7 @@
 	pauseBegins := info.NotRun && info.Pause > 0 && d.router.placer.SetPause(d.member, now+info.Pause, now)
 	pauseEnds := info.Sealed && d.router.placer.EndPause(d.member.ID, d.sentAt)
 	d.router.mutex.Unlock()
-	d.logRateLimit(info)
+	d.recordRateLimit(info, now)
 	if leaving {
 		d.logAnnouncement(elmlog.LeavingAnnounced)
 	}
@@ -33,25 +35,31 @@
 	}
 }
 
-// logRateLimit logs a rate limit that the endpoint announced, if it is new.
-func (d *delivery) logRateLimit(info platform.ResponseInfo) {
+// recordRateLimit records whether the endpoint announced a rate limit, and shares what
+// has changed.
+func (d *delivery) recordRateLimit(info platform.ResponseInfo, now time.Duration) {
 	r := d.router
+	began, ended := false, false
 	r.mutex.Lock()
-	before, known := r.rateLimits[d.member.ID]
 	switch {
 	case info.HasRateLimit:
-		r.rateLimits[d.member.ID] = info.RateLimit
-	case known:
-		delete(r.rateLimits, d.member.ID)
+		began = r.placer.SetRateLimit(d.member.ID, d.member.Started, info.RateLimit, now)
+	case info.InvalidRateLimit == "":
+		ended = r.placer.EndRateLimit(d.member.ID, d.member.Started)
 	}
 	r.mutex.Unlock()
+	key := rateLimitKey + incarnation(d.member)
 	switch {
+	case info.HasRateLimit:
+		r.post(key, rateLimitNotice{PerSecond: &info.RateLimit}, rateLimitTTL)
+		if began {
+			d.logAnnouncement(elmlog.RateLimitAnnounced, "perSecond", info.RateLimit)
+		}
+	case ended:
+		r.post(key, rateLimitNotice{}, rateLimitTTL)
+		d.logAnnouncement(elmlog.RateLimitEnded)
 	case info.InvalidRateLimit != "":
 		d.logAnnouncement(elmlog.RateLimitInvalid, "value", info.InvalidRateLimit)
-	case info.HasRateLimit && (!known || before != info.RateLimit):
-		d.logAnnouncement(elmlog.RateLimitAnnounced, "perSecond", info.RateLimit)
-	case known && !info.HasRateLimit:
-		d.logAnnouncement(elmlog.RateLimitEnded)
 	}
 }
 
--- a/internal/forward/elmrouter/crash.go
+++ b/internal/forward/elmrouter/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -108,8 +107,7 @@
 	r.logger.Event(elmlog.EndpointCrashed, "endpoint", l.member.ID, "service", l.member.Service, "address", l.member.Address,
 		"requests", l.count, "segments", segments)
 	if len(segments) > 0 {
-		key := fmt.Sprintf("%s%s@%d/%s", crashKey, l.member.ID, l.member.Started, r.settings.Instance)
-		r.post(key, crashNotice{At: time.Now().UnixMilli(), Segments: segments}, elmcrash.Window)
+		r.post(crashKey+incarnation(l.member)+"/"+r.settings.Instance, crashNotice{At: time.Now().UnixMilli(), Segments: segments}, elmcrash.Window)
 	}
 }
 
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -90,8 +90,9 @@
 	// lost holds the endpoints that are being checked for a crash, by ID.
 	lost     map[string]*lostResponses
 	detector *elmcrash.Detector
-	// rateLimits holds the requests per second that endpoints announced, by ID.
-	rateLimits map[string]float64
+	// applied holds the notices on endpoints that were applied, by key. Only
+	// watchNotices uses it.
+	applied map[string]string
 	// quarantined holds the segments in quarantine, with its end.
 	quarantined map[string]time.Duration
 	// quarantinedAt is when a request was last refused for a segment in quarantine.
@@ -111,12 +112,12 @@
 		polling:         map[string]bool{},
 		lost:            map[string]*lostResponses{},
 		detector:        elmcrash.New(time.Now().UnixMilli()),
-		rateLimits:      map[string]float64{},
+		applied:         map[string]string{},
 		quarantinedAt:   map[string]time.Duration{},
 		clearedAt:       map[string]time.Duration{},
 		longestDeadline: map[string]time.Duration{},
 		placer: elmplace.New(elmplace.Settings{
-			Datacentre: settings.Datacentre,
+			Entry: settings.Instance, Datacentre: settings.Datacentre,
 			RetryRatio: settings.Bounds.RetryRatio, RetryBurst: settings.Bounds.RetryBurst,
 			RetryWindow: settings.Bounds.RetryWindow,
 			ColdFactor:  settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack,
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -100,7 +100,7 @@
 		message := &elmpeer.Loads{Entry: r.settings.Instance}
 		slowList, now := r.slowRanks(), elmclock.Now()
 		r.mutex.Lock()
-		r.placer.SetEntryCount(len(local)+len(remote)+1, now)
+		r.placer.SetEntries(append(namesOf(slices.Concat(local, remote)), r.settings.Instance), now)
 		r.placer.SetSlow(slowList)
 		for id, open := range r.placer.Loads() {
 			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
@@ -136,6 +136,14 @@
 	return local, remote
 }
 
+func namesOf(list []entry) []string {
+	var names []string
+	for _, e := range list {
+		names = append(names, e.name)
+	}
+	return names
+}
+
 func addressesOf(list []entry) []string {
 	var addresses []string
 	for _, e := range list {
--- a/internal/forward/elmrouter/notices.go
+++ b/internal/forward/elmrouter/notices.go
@@ -3,14 +3,45 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmnotice"
+	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 )
 
-// noticeInterval is the time between two evaluations of the notices.
-const noticeInterval = 100 * time.Millisecond
+const (
+	// noticeInterval is the time between two evaluations of the notices.
+	noticeInterval = 100 * time.Millisecond
+	// rateLimitTTL is how long a rate limit holds at entries that send the endpoint no
+	// requests. Those that do renew it.
+	rateLimitTTL = 30 * time.Second
+	// rateLimitKey and an incarnation form the key of a notice on a rate limit.
+	rateLimitKey = "limit/"
+)
+
+// rateLimitNotice is the value of a notice on an endpoint's rate limit. It has no rate
+// if the endpoint announces none any more.
+type rateLimitNotice struct {
+	PerSecond *float64 `json:"rate,omitempty"`
+}
+
+// incarnation returns the text that identifies an incarnation of an endpoint in keys.
+func incarnation(m elmsnapshot.Member) string {
+	return m.ID + "@" + strconv.FormatInt(m.Started, 10)
+}
+
+// parseIncarnation is the inverse of incarnation.
+func parseIncarnation(text string) (id string, started int64, ok bool) {
+	at := strings.LastIndexByte(text, '@')
+	if at < 0 {
+		return "", 0, false
+	}
+	started, err := strconv.ParseInt(text[at+1:], 10, 64)
+	return text[:at], started, err == nil
+}
 
 // post shares a notice with the other entries.
 func (r *Router) post(key string, value any, ttl time.Duration) {
@@ -35,10 +66,45 @@
 func (r *Router) watchNotices(ctx context.Context) {
 	for ctx.Err() == nil {
 		now, snapshot := elmclock.Now(), r.follower.Snapshot()
-		r.judgeSegments(r.board.Merge(snapshot.SystemKeys(elmnotice.KeyPrefix), now), now)
+		notices := r.board.Merge(snapshot.SystemKeys(elmnotice.KeyPrefix), now)
+		r.judgeSegments(notices, now)
+		r.applyAnnouncements(notices, now)
 		if snapshot.HasConfig() {
 			r.informed.Store(true)
 		}
 		elmclock.Wait(ctx, noticeInterval)
 	}
 }
+
+// applyAnnouncements applies the notices on what endpoints announced that are new.
+func (r *Router) applyAnnouncements(notices map[string]string, now time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for key, value := range notices {
+		if old, ok := r.applied[key]; !ok || old != value {
+			r.applyAnnouncement(key, value, now)
+			r.applied[key] = value
+		}
+	}
+	for key := range r.applied {
+		if _, ok := notices[key]; !ok {
+			r.applyAnnouncement(key, "{}", now) // It has ended.
+			delete(r.applied, key)
+		}
+	}
+}
+
+// applyAnnouncement applies a notice on what an endpoint announced. The mutex must be
+// held.
+func (r *Router) applyAnnouncement(key, value string, now time.Duration) {
+	kind, rest, _ := strings.Cut(key, "/")
+	id, started, ok := parseIncarnation(rest)
+	if !ok || kind+"/" != rateLimitKey {
+		return
+	}
+	if n := decodeNotice[rateLimitNotice](value); n.PerSecond != nil {
+		r.placer.SetRateLimit(id, started, *n.PerSecond, now)
+	} else {
+		r.placer.EndRateLimit(id, started)
+	}
+}
