Bound the events that are buffered of a stream

A stream whose event never ends was kept in memory up to the deadline, by entries and agents. Events beyond 128 KiB now end the response as a reset does. TestEndlessEvent and TestEndlessBody guard against it; a plain body without end is forwarded in parts up to the route's timeout, then aborted.

--- /dev/null
+++ b/internal/forward/elmrouter/endless_test.go
@@ -0,0 +1,34 @@
+package elmrouter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/elmcove/elmcove/platform/stand"
+)
+
+// Guards against callers who wait beyond their time, and entries that run out of memory,
+// because an endpoint sends a body or an event without end.
+func TestEndlessBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		target  string
+		longest time.Duration
+	}{
+		"body":  {target: "/once/a", longest: 3 * time.Second}, // The route's timeout is 1.5 s.
+		"event": {target: "/single/a?stream=1", longest: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1, nil)
+			f.next(stand.EndlessBody)
+			start := time.Now()
+			got := f.call(t.Context(), "POST", c.target, "", map[string]string{"Deadline-Ms": "4000"})
+			if got.err == nil {
+				t.Errorf("status %d, %d bytes that look complete", got.status, len(got.body))
+			}
+			if elapsed := time.Since(start); elapsed > c.longest {
+				t.Errorf("ended after %v", elapsed)
+			}
+		})
+	}
+}
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -89,6 +89,8 @@
 			return nil
 		case err != nil:
 			return err
+		case d.splitter.Err() != nil:
+			return d.splitter.Err()
 		}
 		if events && d.migrateStream() {
 			return errStreamMigrated
--- a/internal/wire/elmevents/elmevents.go
+++ b/internal/wire/elmevents/elmevents.go
@@ -5,6 +5,7 @@
 //
 //	var splitter elmevents.Splitter
 //	events := splitter.Feed(bytes)
+//	err := splitter.Err()
 //	last := splitter.LastID()
 //	rest, err := splitter.End()
 package elmevents
@@ -19,6 +20,12 @@
 // ErrTruncated reports a stream that ends inside an event.
 var ErrTruncated = errors.New("stream ended inside an event")
 
+// ErrTooLong reports an event that is longer than MaxEventBytes.
+var ErrTooLong = errors.New("event is too long")
+
+// MaxEventBytes is the longest event that is buffered.
+const MaxEventBytes = 128 << 10
+
 // mediaType is the media type of event streams.
 const mediaType = "text/event-stream"
 
@@ -73,6 +80,14 @@
 	return s.pending, nil
 }
 
+// Err returns ErrTooLong if the incomplete event is too long to be buffered.
+func (s *Splitter) Err() error {
+	if len(s.pending) > MaxEventBytes {
+		return ErrTooLong
+	}
+	return nil
+}
+
 // LastID returns the identifier of the last complete event, or "".
 func (s *Splitter) LastID() string { return s.last }
 
--- a/internal/wire/elmevents/elmevents_test.go
+++ b/internal/wire/elmevents/elmevents_test.go
@@ -91,3 +91,19 @@
 		})
 	}
 }
+
+// Guards against a process that runs out of memory because an event never ends.
+func TestEndlessEvent(t *testing.T) {
+	var s elmevents.Splitter
+	part := []byte(strings.Repeat("x", 8<<10))
+	fed := 0
+	for s.Feed([]byte("id: 1\ndata: ")); s.Err() == nil; fed += len(part) {
+		if fed > 2*elmevents.MaxEventBytes {
+			t.Fatalf("no error after %d bytes", fed)
+		}
+		s.Feed(part)
+	}
+	if fed < elmevents.MaxEventBytes-len(part) {
+		t.Errorf("error after %d bytes, %d are allowed", fed, elmevents.MaxEventBytes)
+	}
+}
