--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/observe/elmtrace"
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmevents"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
@@ -34,6 +35,11 @@
 	idleConns          = 64
 	loadPath           = "/load"
 	loadTimeout        = 200 * time.Millisecond
+	// maxHeadBytes, maxLoadBytes and maxBodyBytes limit the head of a response, a load
+	// report, and a response that is not a stream.
+	maxHeadBytes = 64 << 10
+	maxLoadBytes = 64 << 10
+	maxBodyBytes = 4 << 20
 	// completionPath is the path of the model engine's completions. Their streams end
 	// with an event whose data is endMark.
 	completionPath = "/v1/chat/completions"
@@ -82,8 +88,8 @@
 func New(endpoint string) *Client {
 	return &Client{
 		endpoint: strings.TrimSuffix(endpoint, "/"),
-		shared:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}},
-		unshared: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		shared:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, MaxResponseHeaderBytes: maxHeadBytes}},
+		unshared: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
 	}
 }
 
@@ -129,7 +135,11 @@
 	if response.StatusCode != http.StatusOK {
 		return Load{}, fmt.Errorf("%w: load report: %s", ErrEndpoint, response.Status)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&load); err != nil {
+	document, err := elmbounded.ReadAll(response.Body, maxLoadBytes)
+	if err == nil {
+		err = json.Unmarshal(document, &load)
+	}
+	if err != nil {
 		return Load{}, fmt.Errorf("%w: load report: %w", ErrEndpoint, err)
 	}
 	return load, nil
@@ -183,6 +193,9 @@
 				return reply, err
 			}
 		}
+		if err := splitter.Err(); err != nil {
+			return reply, fmt.Errorf("%w: %w", ErrEndpoint, err)
+		}
 		if errors.Is(readErr, io.EOF) {
 			return reply, streamEnd(&splitter, marked && !markSeen)
 		}
@@ -216,7 +229,7 @@
 }
 
 func (c *Client) forwardComplete(reply Reply, body io.Reader, sink Sink) (Reply, error) {
-	data, err := io.ReadAll(body)
+	data, err := elmbounded.ReadAll(body, maxBodyBytes)
 	if err != nil {
 		return reply, fmt.Errorf("%w: %w", ErrEndpoint, err)
 	}
