--- a/internal/forward/elmexchange/endless_test.go
+++ b/internal/forward/elmexchange/endless_test.go
@@ -29,7 +29,7 @@
 			return
 		}
 		defer c.Close() //nolint:errcheck // The connection is no longer needed.
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		if _, err = http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, first)
