Share that endpoints leave or pause

An entry kept to itself that an endpoint announced that it is leaving, or that it wants a pause; the others found out by a request each, and a restarted entry had forgotten it. Both are notices now, as crashes and rate limits are. They hold for an incarnation, and end after ten minutes or with the pause.

--- a/internal/forward/elmrouter/announce.go
+++ b/internal/forward/elmrouter/announce.go
@@ -22,9 +22,11 @@
 	d.router.mutex.Unlock()
 	d.recordRateLimit(info, now)
 	if leaving {
+		d.router.post(leavingKey+incarnation(d.member), leavingNotice{}, leavingTTL)
 		d.logAnnouncement(elmlog.LeavingAnnounced)
 	}
 	if pauseBegins {
+		d.router.sharePause(d.member, info.Pause)
 		d.logAnnouncement(elmlog.PauseAnnounced, "pause", info.Pause)
 	}
 	if pauseEnds {
--- a/internal/forward/elmrouter/announce_test.go
+++ b/internal/forward/elmrouter/announce_test.go
@@ -121,3 +121,35 @@
 	}
 	f.callMany(3)
 }
+
+// Guards against an entry that does not know what an endpoint announced to another one,
+// also after a restart of either.
+func TestAnnouncementsAreShared(t *testing.T) {
+	for name, c := range map[string]struct {
+		announce func(e *stand.Endpoint)
+		event    string
+	}{
+		"leaving":    {func(e *stand.Endpoint) { e.SetLeaving(true) }, `"event":1541`},
+		"pause":      {func(e *stand.Endpoint) { e.Pause(time.Minute) }, `"event":1542`},
+		"rate limit": {func(e *stand.Endpoint) { e.SetRateLimit("0") }, `"event":1545`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 2, nil)
+			second := f.addEntry("entry-2")
+			c.announce(f.endpoints[0])
+			f.eventually("announced", func() bool {
+				f.call(t.Context(), "POST", "/once/a", "", nil)
+				return strings.Contains(f.log.String(), c.event)
+			})
+			<-time.After(2 * time.Second)
+			f.stop()
+			before := len(f.endpoints[0].Requests())
+			second.callMany(20)
+			second.addEntry("entry-3").callMany(20)
+			if n := len(f.endpoints[0].Requests()) - before; n > 0 {
+				t.Errorf("the endpoint received %d requests from entries that it had not told", n)
+			}
+		})
+	}
+}
--- a/internal/forward/elmrouter/notices.go
+++ b/internal/forward/elmrouter/notices.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/forward/elmendpoint"
 	"github.com/elmcove/elmcove/internal/forward/elmnotice"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
@@ -18,10 +19,31 @@
 	// rateLimitTTL is how long a rate limit holds at entries that send the endpoint no
 	// requests. Those that do renew it.
 	rateLimitTTL = 30 * time.Second
-	// rateLimitKey and an incarnation form the key of a notice on a rate limit.
+	// leavingTTL is how long the notice that an incarnation is leaving is kept.
+	leavingTTL = 10 * time.Minute
+	// minSharedPause is the shortest pause that is shared. Shorter ones are nearly
+	// over when others learn of them.
+	minSharedPause = time.Second
+	// maxSharedPause is the longest lease that the store grants.
+	maxSharedPause = 10 * time.Minute
+)
+
+// Keys of notices on what endpoints announced. An incarnation follows them.
+const (
 	rateLimitKey = "limit/"
+	leavingKey   = "leaving/"
+	pauseKey     = "pause/"
 )
 
+// leavingNotice is the value of a notice that an endpoint is leaving.
+type leavingNotice struct{}
+
+// pauseNotice is the value of a notice on an endpoint's pause. Until is in Unix
+// milliseconds.
+type pauseNotice struct {
+	Until int64 `json:"until"`
+}
+
 // rateLimitNotice is the value of a notice on an endpoint's rate limit. It has no rate
 // if the endpoint announces none any more.
 type rateLimitNotice struct {
@@ -87,9 +109,12 @@
 		}
 	}
 	for key := range r.applied {
-		if _, ok := notices[key]; !ok {
-			r.applyAnnouncement(key, "{}", now) // It has ended.
-			delete(r.applied, key)
+		if _, ok := notices[key]; ok {
+			continue
+		}
+		delete(r.applied, key)
+		if strings.HasPrefix(key, rateLimitKey) {
+			r.applyAnnouncement(key, "{}", now) // No entry renews it any more.
 		}
 	}
 }
@@ -99,12 +124,30 @@
 func (r *Router) applyAnnouncement(key, value string, now time.Duration) {
 	kind, rest, _ := strings.Cut(key, "/")
 	id, started, ok := parseIncarnation(rest)
-	if !ok || kind+"/" != rateLimitKey {
+	if !ok {
 		return
 	}
-	if n := decodeNotice[rateLimitNotice](value); n.PerSecond != nil {
-		r.placer.SetRateLimit(id, started, *n.PerSecond, now)
-	} else {
-		r.placer.EndRateLimit(id, started)
+	m := elmsnapshot.Member{Endpoint: elmendpoint.Endpoint{ID: id, Started: started}}
+	switch kind + "/" {
+	case rateLimitKey:
+		if n := decodeNotice[rateLimitNotice](value); n.PerSecond != nil {
+			r.placer.SetRateLimit(id, started, *n.PerSecond, now)
+		} else {
+			r.placer.EndRateLimit(id, started)
+		}
+	case leavingKey:
+		r.placer.SetLeaving(m)
+	case pauseKey:
+		remaining := time.Duration(decodeNotice[pauseNotice](value).Until-time.Now().UnixMilli()) * time.Millisecond
+		r.placer.SetPause(m, now+min(remaining, maxSharedPause), now)
+	}
+}
+
+// sharePause shares that an endpoint wants no requests for some time.
+func (r *Router) sharePause(m elmsnapshot.Member, pause time.Duration) {
+	if pause < minSharedPause {
+		return
 	}
+	until := time.Now().Add(pause).Truncate(minSharedPause / 2)
+	r.post(pauseKey+incarnation(m), pauseNotice{Until: until.UnixMilli()}, min(pause, maxSharedPause))
 }
