Find crashing segments soon after all entries restarted

The logs show why: all three entries had been restarted within 0.5 s, and none blamed a segment for 5 s, although the notices of the crashes were all there.

Entries wait for 2 s now. What the longer time guarded against is decided by better evidence: a segment must have been in flight at most of the crashes in its bursts and between them, and crashes that a guilty segment with more crashes explains count against no other.

--- a/internal/forward/elmcrash/elmcrash.go
+++ b/internal/forward/elmcrash/elmcrash.go
@@ -33,7 +33,7 @@
 	objectionTime = int64(time.Second / time.Millisecond)
 	// minHistory is how long a detector collects clearances before it blames segments.
 	// Until then it only follows what other entries have found.
-	minHistory = 5 * int64(time.Second/time.Millisecond)
+	minHistory = 2 * int64(time.Second/time.Millisecond)
 	// suspectMargin is the number of further crashes that would make a suspect guilty.
 	suspectMargin = 2
 	// minSuspectCrashes is the number of crashes that make a segment suspect.
@@ -115,8 +115,8 @@
 	// crash.
 	clearedBefore, clearedSince int
 	// allCrashes is the number of crashes from the first to the last one, whatever was
-	// in flight.
-	allCrashes int
+	// in flight, and burstCrashes that of the crashes in the same bursts.
+	allCrashes, burstCrashes int
 }
 
 // Judge returns the segments under which endpoints crash, and those that are suspect
@@ -130,7 +130,7 @@
 			bySegment[s] = append(bySegment[s], c)
 		}
 	}
-	explained := map[string]bool{}
+	explained := map[string]int{}
 	remaining := map[string]bool{}
 	for s, list := range bySegment {
 		if len(list) < minSuspectCrashes {
@@ -146,7 +146,7 @@
 		var list []evidence
 		for s := range remaining {
 			e := d.weigh(s, bySegment[s], elsewhere[s], explained, now)
-			e.allCrashes = countBetween(crashes, e.crashes)
+			e.allCrashes, e.burstCrashes = countAround(crashes, e.crashes)
 			if e.isGuilty() {
 				list = append(list, e)
 			}
@@ -158,7 +158,7 @@
 		guilty = append(guilty, worst)
 		delete(remaining, worst)
 		for _, c := range bySegment[worst] {
-			explained[c.Endpoint] = true
+			explained[c.Endpoint] = max(explained[c.Endpoint], len(bySegment[worst]))
 		}
 	}
 	slices.Sort(guilty)
@@ -184,14 +184,16 @@
 	})
 }
 
-// weigh collects the evidence on a segment. Against one that was ever cleared, crashes do
-// not count that a guilty segment explains, or to which others may still object.
-func (d *Detector) weigh(segment string, crashes []Crash, elsewhere []int64, explained map[string]bool, now int64) evidence {
+// weigh collects the evidence on a segment. Crashes do not count that a guilty segment
+// with more crashes explains. Against a segment that was ever cleared, those do not count
+// either that any guilty segment explains, or to which others may still object.
+func (d *Detector) weigh(segment string, crashes []Crash, elsewhere []int64, explained map[string]int, now int64) evidence {
 	e := evidence{segment: segment}
 	clearances := slices.Concat(d.Clearances(segment), elsewhere)
 	burst := int64(0)
 	for _, c := range crashes {
-		if len(clearances) > 0 && (explained[c.Endpoint] || c.At > now-objectionTime) {
+		known := len(clearances) > 0
+		if explained[c.Endpoint] > len(crashes) || known && (explained[c.Endpoint] > 0 || c.At > now-objectionTime) {
 			continue
 		}
 		e.crashes = append(e.crashes, c.At)
@@ -206,15 +208,18 @@
 	return e
 }
 
-// countBetween returns the number of crashes from the first to the last of some times.
-func countBetween(crashes []Crash, times []int64) int {
-	n := 0
+// countAround returns the number of crashes from the first to the last of some times,
+// and that of the crashes in the same bursts.
+func countAround(crashes []Crash, times []int64) (between, inBursts int) {
 	for _, c := range crashes {
 		if len(times) > 0 && c.At >= times[0] && c.At <= times[len(times)-1] {
-			n++
+			between++
+		}
+		if slices.ContainsFunc(times, func(t int64) bool { return max(t-c.At, c.At-t) < burstLength }) {
+			inBursts++
 		}
 	}
-	return n
+	return between, inBursts
 }
 
 // countSince returns the number of times that are not before start.
@@ -229,18 +234,22 @@
 }
 
 // isGuilty reports whether the endpoints crashed under the segment. More crashes are
-// needed if it was cleared before, or if most crashes happened without it.
+// needed if it was cleared before, or if crashes happened without it.
 func (e evidence) isGuilty() bool {
 	n := len(e.crashes)
 	switch {
 	case n <= 2*e.clearedSince:
 		return false
-	case e.clearedBefore == 0 && 2*n < e.allCrashes:
-		return e.bursts >= 4 && n >= 5
-	case e.clearedBefore == 0:
+	case e.clearedBefore > 0:
+		return e.bursts >= 5 || e.bursts >= 4 && n >= 7
+	case 4*n >= 3*e.burstCrashes && 4*n >= 3*e.allCrashes:
 		return e.bursts >= 3 || e.bursts >= 2 && n >= 4
+	case 4*n >= 3*e.burstCrashes && 2*n >= e.allCrashes:
+		return e.bursts >= 3
+	case 4*n >= 3*e.burstCrashes:
+		return e.bursts >= 4 && n >= 5
 	}
-	return e.bursts >= 5 || e.bursts >= 4 && n >= 7
+	return e.bursts >= 6 && n >= 8
 }
 
 // compareGuilt orders evidence, the strongest first.
