Correct the advice on quarantined segments

The catalogue said that deleting the key releases a segment. Entries write a notice again that the store has dropped, so it does not. Found by reading; no decision changes.

--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -149,7 +149,7 @@
 	RateLimitInvalid:    {hclog.Warn, "endpoint's rate limit can't be parsed", "It counts as none. Fix the endpoint."},
 	RateLimitEnded:      {hclog.Info, "endpoint's rate limit ended", adviceNone},
 	EndpointCrashed:     {hclog.Warn, "endpoint crashed with requests in flight", "Check the endpoint's own log. If several crashed under one prompt segment, find its caller."},
-	SegmentQuarantined:  {hclog.Warn, "prompt segment in quarantine, since endpoints crash under it", "Find the caller of the segment. To release it, delete its key under notices/quarantine/ in the store."},
+	SegmentQuarantined:  {hclog.Warn, "prompt segment in quarantine, since endpoints crash under it", "Find the caller of the segment. It is released ten minutes after the last request with it."},
 	SegmentReleased:     {hclog.Info, "prompt segment released from quarantine", adviceNone},
 	ProcessResumed:      {hclog.Warn, "process resumed after suspension", "Waiting keyed requests are refused as unknown. Check whether the instance was paused or short of CPU time."},
 	TracesLost:          {hclog.Warn, "traces could not be exported", "Check the traces setting and the collector."},
