Wait in the local stand until a suspended process is stopped

Cause: kill returns before a busy machine has stopped the process, so an agent that the test takes for suspended could still execute the order. The entry's answer, outcome unknown, was true; the test's premise was not.

--- a/internal/stand/elmlocal/processes.go
+++ b/internal/stand/elmlocal/processes.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/elmcove/elmcove/internal/config/elmsettings"
 )
 
-// Signal sends a signal to the named process.
+// Signal sends a signal to the named process. With SIGSTOP it returns when all of
+// the process's threads are stopped.
 func (s *Site) Signal(name string, signal syscall.Signal) error {
 	s.mutex.Lock()
 	p, ok := s.processes[name]
@@ -23,9 +27,26 @@
 	if err := p.Process.Signal(signal); err != nil {
 		return fmt.Errorf("%w: signal %s: %w", ErrLocal, name, err)
 	}
+	if signal != syscall.SIGSTOP {
+		return nil
+	}
+	if err := waitStopped(p.Process.Pid); err != nil {
+		return fmt.Errorf("%w: stop %s: %w", ErrLocal, name, err)
+	}
 	return nil
 }
 
+// waitStopped waits until a child process is stopped. Threads that run on other
+// processors may execute for some time after the signal was sent.
+func waitStopped(processID int) error {
+	for {
+		err := unix.Waitid(unix.P_PID, processID, nil, unix.WSTOPPED, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
+}
+
 // WaitExit waits until the named process has exited.
 func (s *Site) WaitExit(ctx context.Context, name string) error {
 	s.mutex.Lock()
