Tie leases, expectations and the planner's leadership to an era of the store

Before: a conditional write could match a revision that had been given out again, a renewal could keep another owner's lease alive, and the planner that held the leadership stayed the leader while it was cut off, beside one that took it over.

The leadership is a pure state machine (term): it ends when its lease may have run out, its key names the era, and in a new era nobody takes it before a lease of the earlier one has run out.

--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -118,7 +118,9 @@
 		p.services[s.Name] = state
 	}
 	if !state.leadership.hold(ctx) {
-		state.reset()
+		if !state.leadership.term.held() {
+			state.reset()
+		}
 		return
 	}
 	if elmclock.Now() < state.nextPoll {
@@ -211,7 +213,7 @@
 		return
 	}
 	key := platform.InternalPrefix + elmslow.KeyPrefix + service
-	if _, err := p.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(value), Lease: state.leadership.lease}}); err != nil {
+	if _, err := p.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(value), Lease: state.leadership.term.lease}}); err != nil {
 		p.logger.Event(elmlog.StoreDown, "call", "publish slow ranks", "error", err)
 		return
 	}
--- a/internal/expert/elmplanner/leadership.go
+++ b/internal/expert/elmplanner/leadership.go
@@ -30,102 +30,92 @@
 // the service's expert maps.
 type leadership struct {
 	store    *platform.Store
-	settings platform.Settings
 	snapshot func() elmsnapshot.Snapshot
 	service  string
 	logger   *elmlog.Logger
-
-	// lease is the lease that this entry holds, or 0.
-	lease     int64
-	renewedAt time.Duration
-	// freeSince is when the leadership was first observed to be free, or 0.
-	freeSince time.Duration
-	// takeoverDelay is how long this entry leaves a free leadership to others.
-	takeoverDelay time.Duration
+	term     term
 }
 
 func newLeadership(store *platform.Store, settings platform.Settings, snapshot func() elmsnapshot.Snapshot, service string, logger *elmlog.Logger) *leadership {
 	return &leadership{
-		store: store, settings: settings, snapshot: snapshot, service: service, logger: logger,
-		takeoverDelay: time.Duration(rand.Int64N(int64(maxTakeoverDelay))),
+		store: store, snapshot: snapshot, service: service, logger: logger,
+		term: term{
+			instance: settings.Instance, ttl: max(plannerLeaseTTL, settings.MinLeaseTTL),
+			takeoverDelay: time.Duration(rand.Int64N(int64(maxTakeoverDelay))),
+		},
 	}
 }
 
 // hold reports whether this entry is the leader. It acquires the leadership if it is
-// free. An entry that has restarted reacquires its own leadership at once.
+// free, and renews its own.
 func (l *leadership) hold(ctx context.Context) bool {
-	now := elmclock.Now()
-	if l.lease != 0 {
-		if now-l.renewedAt >= leaseRenewInterval {
-			l.renewedAt = now
-			l.renew(ctx)
-		}
-		return l.lease != 0
-	}
-	holder, taken := l.snapshot().SystemKeys(plannerKeyPrefix)[l.service]
-	if taken && holder != l.settings.Instance {
-		l.freeSince = 0
-		return false
-	}
-	if l.freeSince == 0 {
-		l.freeSince = now
+	current := parseHolder(l.snapshot().SystemKeys(plannerKeyPrefix)[l.service])
+	next, due := l.term.next(elmclock.Now(), l.store.Era(), current)
+	l.term = next
+	switch due {
+	case renewLease:
+		l.renew(ctx)
+	case acquireLeadership:
+		l.acquire(ctx)
+	case noAction:
 	}
-	if !taken && now-l.freeSince < l.takeoverDelay {
-		return false
-	}
-	return l.acquire(ctx)
+	return l.term.leads(elmclock.Now())
 }
 
-// renew renews the lease. While the store does not answer, the planner stays the
-// leader, because no other entry can acquire the lease from an unavailable store.
 func (l *leadership) renew(ctx context.Context) {
-	if err := l.store.RenewLease(ctx, l.lease); err != nil {
-		l.logger.Event(elmlog.StoreDown, "call", "keep planner", "error", err)
-		if errors.Is(err, platform.ErrLeaseEnded) {
-			l.lease = 0
-		}
+	sent := elmclock.Now()
+	err := l.store.RenewLease(ctx, l.term.lease)
+	if err == nil {
+		l.term = l.term.withRenewal(sent)
+		return
+	}
+	l.logger.Event(elmlog.StoreDown, "call", "keep planner", "error", err)
+	if errors.Is(err, platform.ErrLeaseEnded) {
+		l.term = l.term.withoutLease()
 	}
 }
 
 // acquire writes the leadership key with a new lease, unless another entry holds the
 // key or changes it meanwhile.
-func (l *leadership) acquire(ctx context.Context) bool {
+func (l *leadership) acquire(ctx context.Context) {
 	key := platform.InternalPrefix + plannerKeyPrefix + l.service
 	page, err := l.store.RangeStale(ctx, key, "")
 	if err != nil {
-		return false
+		return
 	}
-	unchanged := platform.Condition{Key: key}
+	unchanged := platform.Condition{Key: key, Era: page.Era}
 	if len(page.Items) > 0 {
-		if string(page.Items[0].Value) != l.settings.Instance {
-			return false
+		current := parseHolder(string(page.Items[0].Value))
+		if current.instance != l.term.instance && current.era == page.Era {
+			return
 		}
 		unchanged.Revision = page.Items[0].Revision
 	}
-	lease, err := l.store.GrantLease(ctx, max(plannerLeaseTTL, l.settings.MinLeaseTTL))
+	sent := elmclock.Now()
+	lease, err := l.store.GrantLease(ctx, l.term.ttl)
 	if err != nil {
-		return false
+		return
 	}
-	put := []platform.Put{{Key: key, Value: []byte(l.settings.Instance), Lease: lease}}
+	value := holder{l.term.instance, lease.Era}.String()
+	put := []platform.Put{{Key: key, Value: []byte(value), Lease: lease}}
 	if _, err := l.store.Write(ctx, []platform.Condition{unchanged}, put); err != nil {
 		l.endLease(lease)
-		return false
+		return
 	}
-	l.lease, l.renewedAt, l.freeSince = lease, elmclock.Now(), 0
+	l.term = l.term.withLease(lease, sent)
 	l.logger.Event(elmlog.PlannerChosen, "service", l.service)
-	return true
 }
 
 // release ends the leadership.
 func (l *leadership) release() {
-	if l.lease != 0 {
-		l.endLease(l.lease)
-		l.lease = 0
+	if l.term.held() {
+		l.endLease(l.term.lease)
+		l.term = l.term.withoutLease()
 	}
 }
 
 // endLease ends a lease. If the call fails, the lease expires by itself.
-func (l *leadership) endLease(lease int64) {
+func (l *leadership) endLease(lease platform.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := l.store.RevokeLease(ctx, lease); err != nil {
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -35,13 +35,13 @@
 // register keeps this entry's address listed in the store, so that other entries
 // find it.
 func (r *Router) register(ctx context.Context) {
-	lease := int64(0)
+	var lease platform.Lease
 	for ctx.Err() == nil {
 		var err error
-		if lease == 0 {
+		if lease == (platform.Lease{}) {
 			lease, err = r.createEntry(ctx)
 		} else if err = r.store.RenewLease(ctx, lease); errors.Is(err, platform.ErrLeaseEnded) {
-			lease = 0
+			lease = platform.Lease{}
 			continue
 		}
 		delay := leaseRenewInterval
@@ -54,14 +54,14 @@
 }
 
 // createEntry writes this entry's address to the store under a new lease.
-func (r *Router) createEntry(ctx context.Context) (int64, error) {
+func (r *Router) createEntry(ctx context.Context) (platform.Lease, error) {
 	lease, err := r.store.GrantLease(ctx, max(entryLeaseTTL, r.settings.MinLeaseTTL))
 	if err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	key := platform.InternalPrefix + entriesPrefix + r.settings.Instance
 	if _, err := r.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(r.internalAddress() + " " + r.settings.Datacentre), Lease: lease}}); err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	return lease, nil
 }
