Follow the platform's store into a new era

What callers saw, against the stand-in: after the store had returned from a copy, an entry ignored new endpoints and kept removed ones for as long as the revisions were behind (TestRevisionsGoBack); a revoked credential was accepted by an entry that started then (TestRevokedCredentialStaysRevoked); a withdrawn data centre got requests at the next full read (TestWithdrawnDatacentreStaysEmpty).

A watch that meets another era, or gets 410, leads to the same full read after a short random delay. For 10 s after a new era, a full read removes no withdrawal and none of the system's keys, endpoints that are missing have the grace of an outage, and entries older than the known ones are ignored, because their owners write them again. An entry that starts in a later era than the first asks others for a later configuration. The new event 1206 logs the return.

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,12 +43,17 @@
 	// maxSharedAge is the snapshot age from which on this process reads the store
 	// itself: a little more than the duration of two watches.
 	maxSharedAge = 2800 * time.Millisecond
+	// maxReadDelay bounds the random delay before all keys are read again, since all
+	// entries lose their position in the store's history at once.
+	maxReadDelay = 200 * time.Millisecond
+	// firstEra is the era of a store that has not returned from a copy.
+	firstEra = 1
 	// peerFetchAge is the snapshot age from which on peers are asked for theirs.
 	peerFetchAge = 1500 * time.Millisecond
 )
 
-// PeersFunc fetches from other entries what they have read after a revision.
-type PeersFunc func(ctx context.Context, after int64) []*elmpeer.Snapshot
+// PeersFunc fetches from other entries what they have read after a position.
+type PeersFunc func(ctx context.Context, after elmsnapshot.Position) []*elmpeer.Snapshot
 
 // Follower keeps a snapshot of the platform state up to date. It is safe for
 // concurrent use.
@@ -62,9 +68,9 @@
 	items map[string]platform.Item
 }
 
-// SharedReaderFunc fetches what another entry has read from the store after a revision. It
+// SharedReaderFunc fetches what another entry has read from the store after a position. It
 // returns false if this process must read the store itself.
-type SharedReaderFunc func(ctx context.Context, after int64) (*elmpeer.Snapshot, bool)
+type SharedReaderFunc func(ctx context.Context, after elmsnapshot.Position) (*elmpeer.Snapshot, bool)
 
 // Option configures a Follower.
 type Option func(*Follower)
@@ -92,8 +98,8 @@
 func New(store *platform.Store, logger *elmlog.Logger, options ...Option) *Follower {
 	f := &Follower{
 		store: store, logger: logger, items: map[string]platform.Item{},
-		peers:  func(context.Context, int64) []*elmpeer.Snapshot { return nil },
-		reader: func(context.Context, int64) (*elmpeer.Snapshot, bool) { return nil, false },
+		peers:  func(context.Context, elmsnapshot.Position) []*elmpeer.Snapshot { return nil },
+		reader: func(context.Context, elmsnapshot.Position) (*elmpeer.Snapshot, bool) { return nil, false },
 	}
 	snapshot := elmsnapshot.New()
 	f.snapshot.Store(&snapshot)
@@ -127,8 +133,9 @@
 		} else {
 			err = f.watch(ctx, sent)
 		}
-		if errors.Is(err, platform.ErrCompacted) {
+		if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEra) {
 			lastFullRead = -1
+			elmclock.Wait(ctx, rand.N(maxReadDelay))
 			continue
 		}
 		down = f.logStoreState(down, err)
@@ -149,13 +156,13 @@
 		return false
 	}
 	started := elmclock.Now()
-	s, ok := f.reader(ctx, before.Revision())
-	if !ok || s.GetRevision() < before.Revision() {
+	s, ok := f.reader(ctx, before.Position())
+	if !ok || positionOf(s).Before(before.Position()) {
 		return false
 	}
 	sent := started - time.Duration(s.GetAgeMs())*time.Millisecond
 	if sent > before.Sent() {
-		f.applyPeerSnapshot(s, sent, before.Revision())
+		f.applyPeerSnapshot(s, sent, before.Position())
 	}
 	return f.Snapshot().Age(elmclock.Now()) < maxSharedAge
 }
@@ -167,7 +174,7 @@
 		f.logger.Event(elmlog.StoreDown, "error", err, "age", f.Snapshot().Age(elmclock.Now()))
 	}
 	if err == nil && down {
-		f.logger.Event(elmlog.StoreRecovered, "revision", f.Snapshot().Revision())
+		f.logger.Event(elmlog.StoreRecovered, "revision", f.Snapshot().Position().Revision, "era", f.Snapshot().Position().Era)
 	}
 	return err != nil
 }
@@ -176,14 +183,17 @@
 // the revision of the first page and the next watch reports the changes since then.
 func (f *Follower) readAll(ctx context.Context, sent time.Duration) error {
 	var items []platform.Item
-	revision := int64(0)
+	var position elmsnapshot.Position
 	for after, more := "", true; more; {
 		page, err := f.store.Range(ctx, "", after)
 		if err != nil {
 			return err
 		}
-		if revision == 0 {
-			revision = page.Revision
+		if position == (elmsnapshot.Position{}) {
+			position = elmsnapshot.Position{Era: page.Era, Revision: page.Revision}
+		}
+		if page.Era != position.Era {
+			return platform.ErrEra
 		}
 		items = append(items, page.Items...)
 		more = page.More && len(page.Items) > 0
@@ -191,29 +201,68 @@
 			after = page.Items[len(page.Items)-1].Key
 		}
 	}
-	f.apply(sent, revision, items, true)
+	if !f.Snapshot().HasConfig() && position.Era > firstEra {
+		items = f.withLatestConfig(ctx, items)
+	}
+	f.apply(sent, position, items, true)
 	return nil
 }
 
-// watch waits for changes after the current revision and applies them.
+// watch waits for changes after the current position and applies them. It fails in a
+// new era, in which the revision means another state.
 func (f *Follower) watch(ctx context.Context, sent time.Duration) error {
-	page, err := f.store.Watch(ctx, "", f.Snapshot().Revision(), watchTimeout)
+	position := f.Snapshot().Position()
+	page, err := f.store.Watch(ctx, "", position.Revision, watchTimeout)
 	if err != nil {
 		return err
 	}
-	f.apply(sent, page.Revision, page.Items, false)
+	if page.Era != position.Era {
+		return platform.ErrEra
+	}
+	position.Revision = page.Revision
+	f.apply(sent, position, page.Items, false)
 	return nil
 }
 
-// apply updates the snapshot to a revision. With full, items replace all earlier
+// withLatestConfig replaces the configuration in items by that of a peer if it is later.
+// A store that has returned from a copy may hold an earlier one than the one in force.
+func (f *Follower) withLatestConfig(ctx context.Context, items []platform.Item) []platform.Item {
+	items = slices.Clone(items)
+	for _, s := range f.peers(ctx, elmsnapshot.Position{}) {
+		for _, i := range s.GetItems() {
+			if i.GetKey() == platform.ConfigKey {
+				items = append(items, platform.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision()})
+			}
+		}
+	}
+	var latest []platform.Item
+	version := int64(0)
+	for _, i := range items {
+		if i.Key != platform.ConfigKey {
+			latest = append(latest, i)
+			continue
+		}
+		if catalog, err := platform.DecodeCatalog(i.Value); err == nil && catalog.Version() > version {
+			version = catalog.Version()
+			latest = append(slices.DeleteFunc(latest, func(l platform.Item) bool { return l.Key == i.Key }), i)
+		}
+	}
+	return latest
+}
+
+// apply updates the snapshot to a position. With full, items replace all earlier
 // items.
-func (f *Follower) apply(sent time.Duration, revision int64, items []platform.Item, full bool) {
+func (f *Follower) apply(sent time.Duration, position elmsnapshot.Position, items []platform.Item, full bool) {
+	f.store.LearnEra(position.Era)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	snapshot := f.Snapshot()
-	if revision < snapshot.Revision() {
+	if position.Before(snapshot.Position()) {
 		return
 	}
+	if known := snapshot.Position().Era; snapshot.HasConfig() && position.Era > known {
+		f.logger.Event(elmlog.StoreRestored, "era", position.Era, "revision", position.Revision, "known", snapshot.Position().Revision, "age", snapshot.Age(elmclock.Now()))
+	}
 	if full {
 		f.items = map[string]platform.Item{}
 	}
@@ -225,7 +274,7 @@
 		f.items[i.Key] = i
 	}
 	next, notices := snapshot.Update(elmsnapshot.Read{
-		Sent: sent, Received: elmclock.Now(), Revision: revision, Full: full, Changes: f.decodeChanges(items),
+		Sent: sent, Received: elmclock.Now(), Position: position, Full: full, Changes: f.decodeChanges(items),
 	})
 	f.snapshot.Store(&next)
 	for _, n := range notices {
@@ -280,7 +329,7 @@
 
 // logNotice logs a change of the snapshot.
 func (f *Follower) logNotice(n elmsnapshot.Notice, snapshot elmsnapshot.Snapshot) {
-	revision := snapshot.Revision()
+	revision := snapshot.Position().Revision
 	switch n := n.(type) {
 	case elmsnapshot.Adopted:
 		f.logger.Event(elmlog.ConfigAdopted, "version", n.Version, "revision", revision)
@@ -300,18 +349,23 @@
 	}
 }
 
-// PeerSnapshot returns for peers what was read after a revision.
-func (f *Follower) PeerSnapshot(after int64) *elmpeer.Snapshot {
+// PeerSnapshot returns for peers what was read after a position. Of another era it
+// returns everything.
+func (f *Follower) PeerSnapshot(after elmsnapshot.Position) *elmpeer.Snapshot {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	snapshot := f.Snapshot()
-	s := &elmpeer.Snapshot{Revision: snapshot.Revision(), AgeMs: snapshot.Age(elmclock.Now()).Milliseconds()}
-	if snapshot.Revision() <= after {
+	position := snapshot.Position()
+	s := &elmpeer.Snapshot{Era: position.Era, Revision: position.Revision, AgeMs: snapshot.Age(elmclock.Now()).Milliseconds()}
+	if !after.Before(position) {
 		return s
 	}
+	if after.Era != position.Era {
+		after.Revision = 0
+	}
 	for _, key := range slices.Sorted(maps.Keys(f.items)) {
 		s.Keys = append(s.Keys, key)
-		if i := f.items[key]; i.Revision > after {
+		if i := f.items[key]; i.Revision > after.Revision {
 			s.Items = append(s.Items, &elmpeer.Item{Key: key, Value: i.Value, Revision: i.Revision})
 		}
 	}
@@ -326,27 +380,32 @@
 		return
 	}
 	started := elmclock.Now()
-	for _, s := range f.peers(ctx, before.Revision()) {
+	for _, s := range f.peers(ctx, before.Position()) {
 		sent := started - time.Duration(s.GetAgeMs())*time.Millisecond
-		if sent <= f.Snapshot().Sent() || s.GetRevision() == 0 || s.GetRevision() < f.Snapshot().Revision() {
+		if sent <= f.Snapshot().Sent() || s.GetRevision() == 0 || positionOf(s).Before(f.Snapshot().Position()) {
 			continue
 		}
-		f.applyPeerSnapshot(s, sent, before.Revision())
+		f.applyPeerSnapshot(s, sent, before.Position())
 		f.logger.Event(elmlog.PeerUsed, "revision", s.GetRevision(), "age", elmclock.Now()-sent)
 	}
 }
 
-// applyPeerSnapshot applies a snapshot that a peer sent for a requested revision. If
-// it has no later revision, it only confirms that nothing has changed.
-func (f *Follower) applyPeerSnapshot(s *elmpeer.Snapshot, sent time.Duration, after int64) {
-	if s.GetRevision() <= after {
+// positionOf returns the position of a peer's snapshot.
+func positionOf(s *elmpeer.Snapshot) elmsnapshot.Position {
+	return elmsnapshot.Position{Era: s.GetEra(), Revision: s.GetRevision()}
+}
+
+// applyPeerSnapshot applies a snapshot that a peer sent for a requested position. If
+// it has no later position, it only confirms that nothing has changed.
+func (f *Follower) applyPeerSnapshot(s *elmpeer.Snapshot, sent time.Duration, after elmsnapshot.Position) {
+	if !after.Before(positionOf(s)) {
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
 		next, _ := f.Snapshot().Update(elmsnapshot.Confirmed{Sent: sent})
 		f.snapshot.Store(&next)
 		return
 	}
-	f.apply(sent, s.GetRevision(), f.completeItems(s), true)
+	f.apply(sent, positionOf(s), f.completeItems(s), true)
 }
 
 // completeItems returns all items of a peer's snapshot: the changed ones that it
--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -13,6 +13,7 @@
 package elmpeers
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 )
@@ -131,8 +133,8 @@
 	return errors.Join(failures...)
 }
 
-// FetchSnapshots fetches from a few other entries what they have read after a revision.
-func (p *Peers) FetchSnapshots(ctx context.Context, after int64) []*elmpeer.Snapshot {
+// FetchSnapshots fetches from a few other entries what they have read after a position.
+func (p *Peers) FetchSnapshots(ctx context.Context, after elmsnapshot.Position) []*elmpeer.Snapshot {
 	var wait sync.WaitGroup
 	var mutex sync.Mutex
 	var found []*elmpeer.Snapshot
@@ -167,9 +169,9 @@
 	return list
 }
 
-// FetchSnapshot fetches from another entry what it has read after a revision.
-func (p *Peers) FetchSnapshot(ctx context.Context, address string, after int64) (*elmpeer.Snapshot, error) {
-	url := "http://" + address + SnapshotPath + "?after=" + strconv.FormatInt(after, 10)
+// FetchSnapshot fetches from another entry what it has read after a position.
+func (p *Peers) FetchSnapshot(ctx context.Context, address string, after elmsnapshot.Position) (*elmpeer.Snapshot, error) {
+	url := fmt.Sprintf("http://%s%s?after=%d&era=%d", address, SnapshotPath, after.Revision, after.Era)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrPeers, err)
@@ -198,14 +200,20 @@
 }
 
 // Handler serves snapshots to other entries.
-func Handler(source func(after int64) *elmpeer.Snapshot) http.Handler {
+func Handler(source func(after elmsnapshot.Position) *elmpeer.Snapshot) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		query := r.URL.Query()
+		revision, err := strconv.ParseInt(query.Get("after"), 10, 64)
 		if err != nil {
 			http.Error(w, "after must be a revision", http.StatusBadRequest)
 			return
 		}
-		body, err := proto.Marshal(source(after))
+		era, err := strconv.ParseInt(cmp.Or(query.Get("era"), "0"), 10, 64)
+		if err != nil {
+			http.Error(w, "era must be an era of the store", http.StatusBadRequest)
+			return
+		}
+		body, err := proto.Marshal(source(elmsnapshot.Position{Era: era, Revision: revision}))
 		if err != nil {
 			http.Error(w, "snapshot can't be encoded", http.StatusInternalServerError)
 			return
--- a/internal/forward/elmpeers/elmpeers_test.go
+++ b/internal/forward/elmpeers/elmpeers_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/elmcove/elmcove/internal/forward/elmpeers"
+	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/stand/elmbody"
 	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 )
@@ -40,7 +41,7 @@
 			server := httptest.NewServer(c.handler)
 			defer server.Close()
 			address := strings.TrimPrefix(server.URL, "http://")
-			s, err := elmpeers.New(address, nil).FetchSnapshot(t.Context(), address, 0)
+			s, err := elmpeers.New(address, nil).FetchSnapshot(t.Context(), address, elmsnapshot.Position{})
 			if (err == nil) != c.complete || c.complete && s.GetRevision() != 7 {
 				t.Errorf("snapshot %v, error %v", s, err)
 			}
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -31,6 +31,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmnotice"
 	"github.com/elmcove/elmcove/internal/forward/elmpeers"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
+	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
@@ -135,7 +136,7 @@
 
 // readFromEntry fetches a snapshot from the entry that reads the store for this one.
 // It returns false if there is no such entry or the request fails.
-func (r *Router) readFromEntry(ctx context.Context, after int64) (*elmpeer.Snapshot, bool) {
+func (r *Router) readFromEntry(ctx context.Context, after elmsnapshot.Position) (*elmpeer.Snapshot, bool) {
 	address := r.storeReader()
 	if address == "" {
 		return nil, false
--- a/internal/forward/elmsnapshot/elmsnapshot.go
+++ b/internal/forward/elmsnapshot/elmsnapshot.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	snapshot := elmsnapshot.New()
-//	snapshot, notices := snapshot.Update(elmsnapshot.Read{Sent: sent, Revision: 9, Full: true, Changes: changes})
+//	snapshot, notices := snapshot.Update(elmsnapshot.Read{Sent: sent, Position: position, Full: true, Changes: changes})
 //	if snapshot.Age(now) > limit { refuse() }
 package elmsnapshot
 
@@ -34,6 +34,9 @@
 	// relistGrace is the time within which endpoints whose entries expired during
 	// an outage write them again.
 	relistGrace = 2 * time.Second
+	// retainTime is the time within which the owners of keys that the store has lost
+	// write them again.
+	retainTime = 10 * time.Second
 )
 
 // Member is an endpoint and its local state in the snapshot.
@@ -60,8 +63,11 @@
 	// systemKeys holds the values of the system's own keys.
 	systemKeys map[string]string
 	// sent is when the newest answered read was sent.
-	sent          time.Duration
-	revision      int64
+	sent     time.Duration
+	position Position
+	// retainUntil is the time until which a full read in a new era removes nothing,
+	// because the owners of lost keys write them again.
+	retainUntil   time.Duration
 	known         bool
 	leaveGrace    time.Duration
 	withdrawGrace time.Duration
@@ -86,8 +92,9 @@
 // HasConfig reports whether a configuration has been read.
 func (s Snapshot) HasConfig() bool { return s.known && s.catalog.Version() > 0 }
 
-// Revision returns the store revision up to which the snapshot is complete.
-func (s Snapshot) Revision() int64 { return s.revision }
+// Position returns the point in the store's history up to which the snapshot is
+// complete.
+func (s Snapshot) Position() Position { return s.position }
 
 // Sent returns the time at which the newest answered read was sent.
 func (s Snapshot) Sent() time.Duration { return s.sent }
@@ -163,14 +170,18 @@
 }
 
 func (s Snapshot) read(m Read) (Snapshot, []Notice) {
-	if m.Revision < s.revision {
+	if m.Position.Before(s.position) {
 		return s, nil
 	}
-	afterOutage := s.known && m.Sent-s.sent > outageThreshold
 	next := s
+	if s.known && m.Position.Era > s.position.Era {
+		next.retainUntil = max(m.Sent, m.Received) + retainTime
+	}
+	retain := m.Sent < next.retainUntil
+	afterOutage := s.known && (retain || m.Sent-s.sent > outageThreshold)
 	next.members, next.systemKeys = clone(s.members), clone(s.systemKeys)
 	next.withdrawn = clone(s.withdrawn)
-	if m.Full {
+	if m.Full && !retain {
 		next.systemKeys = map[string]string{}
 	}
 	var notices []Notice
@@ -179,9 +190,9 @@
 		notices = append(notices, next.apply(c, m, afterOutage, listed)...)
 	}
 	if m.Full {
-		notices = append(notices, next.dropMissing(m.Sent, afterOutage, listed)...)
+		notices = append(notices, next.dropMissing(m.Sent, afterOutage, retain, listed)...)
 	}
-	next.sent, next.revision, next.known = max(s.sent, m.Sent), m.Revision, true
+	next.sent, next.position, next.known = max(s.sent, m.Sent), m.Position, true
 	return next, notices
 }
 
@@ -245,6 +256,9 @@
 
 func (s *Snapshot) addEndpoint(e elmendpoint.Endpoint, at time.Duration, afterOutage bool) []Notice {
 	old, known := s.members[e.ID]
+	if known && at < s.retainUntil && outdated(e, old.Endpoint) {
+		return nil // The store's copy is older.
+	}
 	m := Member{Endpoint: e, ColdUntil: at + e.ColdRemaining}
 	switch {
 	case e.Leaving && known && old.Leaving:
@@ -262,6 +276,11 @@
 	return nil
 }
 
+// outdated reports whether an entry is older than the known one of the same endpoint.
+func outdated(e, known elmendpoint.Endpoint) bool {
+	return e.Started < known.Started || e.Started == known.Started && known.Leaving && !e.Leaving
+}
+
 func (s *Snapshot) removeEndpoint(id string, at time.Duration, afterOutage bool) []Notice {
 	m, ok := s.members[id]
 	if !ok {
@@ -278,12 +297,12 @@
 	return nil
 }
 
-// dropMissing removes the endpoints and withdrawals that a complete read does not
-// contain.
-func (s *Snapshot) dropMissing(at time.Duration, afterOutage bool, listed map[string]bool) []Notice {
+// dropMissing removes the endpoints that a complete read does not contain, and the
+// withdrawals unless they are retained.
+func (s *Snapshot) dropMissing(at time.Duration, afterOutage, retain bool, listed map[string]bool) []Notice {
 	var notices []Notice
 	for _, name := range slices.Sorted(maps.Keys(s.withdrawn)) {
-		if !listed[datacentrePrefix+name] {
+		if !retain && !listed[datacentrePrefix+name] {
 			notices = append(notices, s.setWithdrawn(Withdrawn{Datacentre: name}, afterOutage)...)
 		}
 	}
--- a/internal/forward/elmsnapshot/elmsnapshot_test.go
+++ b/internal/forward/elmsnapshot/elmsnapshot_test.go
@@ -26,11 +26,11 @@
 }
 
 func full(sent time.Duration, revision int64, changes ...elmsnapshot.Change) elmsnapshot.Read {
-	return elmsnapshot.Read{Sent: sent, Revision: revision, Full: true, Changes: changes}
+	return elmsnapshot.Read{Sent: sent, Position: elmsnapshot.Position{Revision: revision}, Full: true, Changes: changes}
 }
 
 func incremental(sent time.Duration, revision int64, changes ...elmsnapshot.Change) elmsnapshot.Read {
-	return elmsnapshot.Read{Sent: sent, Revision: revision, Changes: changes}
+	return elmsnapshot.Read{Sent: sent, Position: elmsnapshot.Position{Revision: revision}, Changes: changes}
 }
 
 func ids(list []elmsnapshot.Member) string {
--- a/internal/forward/elmsnapshot/messages.go
+++ b/internal/forward/elmsnapshot/messages.go
@@ -14,11 +14,11 @@
 	// Read reports a response of the store, or of a peer that has read the
 	// store. Sent is when the read was sent, and Received when its response arrived.
 	// Full means that Changes hold the complete state; otherwise they hold what
-	// changed since the snapshot's revision.
+	// changed since the snapshot's position. The first read of an era is full.
 	Read struct {
 		Sent     time.Duration
 		Received time.Duration
-		Revision int64
+		Position Position
 		Full     bool
 		Changes  []Change
 	}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -29,6 +29,7 @@
 	InstanceListSuspect Event = 1203
 	PeerUsed            Event = 1204
 	StoreRead           Event = 1205
+	StoreRestored       Event = 1206
 	LinkUp              Event = 1301
 	LinkDown            Event = 1302
 	LinkRefused         Event = 1303
@@ -105,6 +106,7 @@
 	ReadinessChanged:    {hclog.Info, "readiness changed", adviceNone},
 	PeerUsed:            {hclog.Info, "platform state read from a peer", "Check the network path from this instance to the store."},
 	StoreRead:           {hclog.Info, "store read in full", adviceNone},
+	StoreRestored:       {hclog.Warn, "store returned from a copy, its latest writes are lost", "None in a drill. Otherwise ask the platform's operators. Check that the operator's configuration and withdrawals are written again."},
 	RequestFinished:     {hclog.Info, "request finished", adviceNone},
 	RequestFailed:       {hclog.Info, "request failed and may have been executed", "Check its endpoint and error."},
 	RequestResumed:      {hclog.Info, "stream resumed on another endpoint", adviceNone},
