Write the notices of an entry again in a new era of the store

Before, TestNoticesSurviveStoreCopy failed: an entry took the earlier value in the store's copy for a later one and dropped its own, and lost ones were written again after five seconds only.

In a new era all own notices count as not listed, and are written again within a second at a random moment.

--- a/internal/forward/elmnotice/elmnotice.go
+++ b/internal/forward/elmnotice/elmnotice.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +37,9 @@
 	// settleTime is how long a written notice may be missing from the snapshot. After
 	// that the store has dropped it, such as in an outage, and it is written again.
 	settleTime = 5 * time.Second
+	// maxRewriteDelay bounds the random delay before the notices are written again in a
+	// new era of the store, since all entries write theirs then.
+	maxRewriteDelay = time.Second
 	// maxBatch is the number of keys that a transaction may write.
 	maxBatch = 32
 	// maxNotices bounds the notices of this entry. Further ones stay local.
@@ -70,6 +74,10 @@
 
 	mutex sync.Mutex
 	own   map[string]record
+	// era is the era of the store that holds the written notices. In a later one they
+	// are written again at rewriteAt.
+	era       int64
+	rewriteAt time.Duration
 }
 
 // New returns an empty Board. MinTTL is the shortest lease that the store grants.
@@ -87,18 +95,16 @@
 		return
 	}
 	b.own[n.Key] = record{Notice: n, expiresAt: now + n.TTL}
-	select {
-	case b.wake <- struct{}{}:
-	default:
-	}
+	b.rewake()
 }
 
 // Merge returns the values of all notices by key: those listed in the store, and this
-// entry's own ones that are not written yet. Written ones that are no longer listed
-// are written again.
+// entry's own ones that are not written yet. Written ones that are no longer listed or
+// that an earlier era of the store held are written again.
 func (b *Board) Merge(listed map[string]string, now time.Duration) map[string]string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.followEra(now)
 	for key, r := range b.own {
 		if now >= r.expiresAt {
 			delete(b.own, key)
@@ -120,6 +126,27 @@
 	return listed
 }
 
+// followEra schedules all own notices to be written again in a new era of the store.
+// What the store lists under their keys then is not later than they are.
+func (b *Board) followEra(now time.Duration) {
+	if era := b.store.Era(); era != b.era {
+		b.era, b.rewriteAt = era, now+rand.N(maxRewriteDelay)
+		for key, r := range b.own {
+			r.listed = false
+			b.own[key] = r
+		}
+	}
+	if b.rewriteAt == 0 || now < b.rewriteAt {
+		return
+	}
+	b.rewriteAt = 0
+	for key, r := range b.own {
+		r.writtenAt = 0
+		b.own[key] = r
+	}
+	b.rewake()
+}
+
 // Run writes notices to the store until the context ends.
 func (b *Board) Run(ctx context.Context) {
 	ticker := time.NewTicker(settleTime)
--- a/internal/forward/elmnotice/elmnotice_test.go
+++ b/internal/forward/elmnotice/elmnotice_test.go
@@ -115,3 +115,28 @@
 		t.Errorf("after the end of the notice: %v", got)
 	}
 }
+
+// Guards against notices that a store which returned from a copy has lost, or holds with
+// an earlier value.
+func TestNoticesSurviveStoreCopy(t *testing.T) {
+	f := newFixture(t)
+	b := f.newBoard(t)
+	now := elmclock.Now()
+	b.Post(elmnotice.Notice{Key: "k/old", Value: "first", TTL: time.Minute}, now)
+	eventually(t, "written", func() bool { return f.listed(t)["k/old"] == "first" })
+	f.stand.SaveCopy()
+	b.Post(elmnotice.Notice{Key: "k/old", Value: "second", TTL: time.Minute}, now)
+	b.Post(elmnotice.Notice{Key: "k/new", Value: "v", TTL: time.Minute}, now)
+	eventually(t, "changed", func() bool {
+		listed := b.Merge(f.listed(t), now)
+		return f.listed(t)["k/old"] == "second" && f.listed(t)["k/new"] == "v" && listed["k/old"] == "second"
+	})
+	f.stand.RestoreCopy()
+	eventually(t, "written again", func() bool {
+		listed := b.Merge(f.listed(t), elmclock.Now())
+		if listed["k/old"] != "second" || listed["k/new"] != "v" {
+			t.Fatalf("the entry forgot its own notices: %v", listed)
+		}
+		return f.listed(t)["k/old"] == "second" && f.listed(t)["k/new"] == "v"
+	})
+}
