Serve the configuration in force to other entries after the store's return

What callers saw, in the soak (seed 912): an entry that started after the store had returned from a copy accepted a revoked credential, though others rejected it.

Cause: what an entry serves to others was replaced by the next full read, with the earlier configuration of the copy, while the entry itself kept the later one.

The configuration in force stays among the served items until a later one. TestRevokedCredentialStaysRevoked now waits until the first entry has read the copy, failed so before the change, and passes.

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -9,6 +9,7 @@
 package elmfollower
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -235,19 +236,17 @@
 			}
 		}
 	}
-	var latest []platform.Item
-	version := int64(0)
+	isConfig := func(i platform.Item) bool { return i.Key == platform.ConfigKey }
+	var latest platform.Item
 	for _, i := range items {
-		if i.Key != platform.ConfigKey {
-			latest = append(latest, i)
-			continue
-		}
-		if catalog, err := platform.DecodeCatalog(i.Value); err == nil && catalog.Version() > version {
-			version = catalog.Version()
-			latest = append(slices.DeleteFunc(latest, func(l platform.Item) bool { return l.Key == i.Key }), i)
+		if isConfig(i) && configVersion(i) > configVersion(latest) {
+			latest = i
 		}
 	}
-	return latest
+	if latest.Key == "" {
+		return items
+	}
+	return append(slices.DeleteFunc(items, isConfig), latest)
 }
 
 // apply updates the snapshot to a position. With full, items replace all earlier
@@ -263,6 +262,20 @@
 	if known := snapshot.Position().Era; snapshot.HasConfig() && position.Era > known {
 		f.logger.Event(elmlog.StoreRestored, "era", position.Era, "revision", position.Revision, "known", snapshot.Position().Revision, "age", snapshot.Age(elmclock.Now()))
 	}
+	f.updateItems(items, full)
+	next, notices := snapshot.Update(elmsnapshot.Read{
+		Sent: sent, Received: elmclock.Now(), Position: position, Full: full, Changes: f.decodeChanges(items),
+	})
+	f.snapshot.Store(&next)
+	for _, n := range notices {
+		f.logNotice(n, next)
+	}
+}
+
+// updateItems updates the items that peers may fetch. The configuration in force stays
+// among them until a later one, since a store that returned from a copy may have lost it.
+func (f *Follower) updateItems(items []platform.Item, full bool) {
+	config, known := f.items[platform.ConfigKey]
 	if full {
 		f.items = map[string]platform.Item{}
 	}
@@ -273,13 +286,19 @@
 		}
 		f.items[i.Key] = i
 	}
-	next, notices := snapshot.Update(elmsnapshot.Read{
-		Sent: sent, Received: elmclock.Now(), Position: position, Full: full, Changes: f.decodeChanges(items),
-	})
-	f.snapshot.Store(&next)
-	for _, n := range notices {
-		f.logNotice(n, next)
+	current := f.items[platform.ConfigKey]
+	if known && !bytes.Equal(current.Value, config.Value) && configVersion(current) < configVersion(config) {
+		f.items[platform.ConfigKey] = config
+	}
+}
+
+// configVersion returns the version of a configuration, or 0 if it can't be decoded.
+func configVersion(i platform.Item) int64 {
+	catalog, err := platform.DecodeCatalog(i.Value)
+	if err != nil {
+		return 0
 	}
+	return catalog.Version()
 }
 
 // decodeChanges decodes items into changes. An endpoint entry that can't be decoded
--- a/internal/forward/elmrouter/era_test.go
+++ b/internal/forward/elmrouter/era_test.go
@@ -54,6 +54,7 @@
 		f.store.Put("op/config", configuration(2, "other"))
 		f.eventually("revoked", func() bool { return rejected(f) })
 	})
+	f.eventually("informed", func() bool { return strings.Contains(f.log.String(), "store returned from a copy") })
 	settings := f.settings
 	settings.Seeds = []string{net.JoinHostPort(f.settings.IP, strconv.Itoa(peerPort))}
 	starter := *f
