Take a retry for an unsent request only with attempts left

What callers saw: while endpoints could not be reached, retries ran out after half of the requests that they suffice for.

Cause: a request that could not be sent took a retry from the budget after its last attempt too. TestRetriesAreTakenOnlyWithAttemptsLeft counts the attempts of 6 requests with a budget of 6: 9 before, 12 now.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -277,7 +277,8 @@
 	}
 	d.release(elmplace.Failed)
 	if unsent {
-		return elmlifecycle.Rejected{NoRetry: !d.takeRetry()}
+		retry := len(d.lifecycle.Tried()) < d.route.Attempts && d.takeRetry()
+		return elmlifecycle.Rejected{NoRetry: !retry}
 	}
 	d.recordLostResponse()
 	return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
