Count complete plain responses as progress of an endpoint

What callers saw: a model service whose responses are no streams was refused as a whole when one rank rejected a request for its broken group, while other groups of the service answered.

Cause: progress was recorded with the events of streams only. A complete response without a server error is progress as well. TestPlainResponsesAreProgress failed before with event 1517, and passes.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -373,6 +373,7 @@
 		outcome = elmplace.Failed
 	} else {
 		d.router.clearSegments(d.requestInfo.Segments, nil)
+		d.router.recordProgress(d.service.Name, d.member.ID, elmclock.Now())
 	}
 	d.release(outcome)
 	d.router.meter.Count(elmmeter.Requests, "outcome", "whole")
--- a/internal/forward/elmrouter/retry_test.go
+++ b/internal/forward/elmrouter/retry_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/elmcove/elmcove/platform"
+	"github.com/elmcove/elmcove/platform/stand"
 )
 
 // Guards against retries that are taken from the budget by requests without attempts
@@ -37,3 +38,26 @@
 		t.Errorf("%d attempts of %d requests, want %d", sent, usable, attempts*usable)
 	}
 }
+
+// Guards against a service that counts as broken because one of its groups is, although
+// another one answers, with responses that are no streams.
+func TestPlainResponsesAreProgress(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2, nil)
+	document := strings.Replace(string(configuration(2, credential)), `"maxConnections":10`, `"maxConnections":10,"engine":{"slots":4}`, 1)
+	f.store.Put("op/config", []byte(document))
+	f.eventually("configured", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
+	for range 4 {
+		if got := f.call(t.Context(), "POST", "/once/a", "", nil); got.status != http.StatusOK {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	f.endpoints[0].QueueBehaviours(stand.RejectForFailedRank)
+	f.eventually("rejected", func() bool {
+		f.call(t.Context(), "POST", "/once/a", "", nil)
+		return strings.Contains(f.log.String(), `"event":1532`) || strings.Contains(f.log.String(), `"event":1517`)
+	})
+	if strings.Contains(f.log.String(), `"event":1517`) {
+		t.Error("the service counts as broken")
+	}
+}
