End the lease of a failed registration

What the store saw: each try of an entry to write its key while writes failed left a lease behind for ten seconds, one a second.

Cause: createEntry dropped the lease that it had been granted. It now ends it. TestFailedRegistrationEndsItsLease failed before (no lease ended in 10 s), and passes.

--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -61,7 +61,7 @@
 	}
 	key := platform.InternalPrefix + entriesPrefix + r.settings.Instance
 	if _, err := r.store.Write(ctx, nil, []platform.Put{{Key: key, Value: []byte(r.internalAddress() + " " + r.settings.Datacentre), Lease: lease}}); err != nil {
-		return platform.Lease{}, err
+		return platform.Lease{}, errors.Join(err, r.store.RevokeLease(ctx, lease))
 	}
 	return lease, nil
 }
--- a/internal/forward/elmrouter/retry_test.go
+++ b/internal/forward/elmrouter/retry_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/elmcove/elmcove/platform"
@@ -61,3 +62,23 @@
 		t.Error("the service counts as broken")
 	}
 }
+
+// Guards against leases of an entry that stay in the store because the write of its key
+// failed.
+func TestFailedRegistrationEndsItsLease(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, nil)
+	var granted, ended atomic.Int32
+	f.store.RefuseWhen(func(r *http.Request) bool {
+		switch {
+		case strings.HasSuffix(r.URL.Path, "/kv-lease"):
+			granted.Add(1)
+		case strings.Contains(r.URL.Path, "/kv-lease-end/"):
+			ended.Add(1)
+		}
+		return strings.HasSuffix(r.URL.Path, "/kv-txn")
+	})
+	f.addEntry("entry-2")
+	f.eventually("registered twice in vain", func() bool { return granted.Load() >= 2 })
+	f.eventually("ended", func() bool { return ended.Load() >= 1 })
+}
