--- a/internal/forward/elmnotice/elmnotice.go
+++ b/internal/forward/elmnotice/elmnotice.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -210,7 +211,7 @@
 		puts = append(puts, platform.Put{Key: platform.InternalPrefix + KeyPrefix + r.Key, Value: []byte(r.Value), Lease: lease})
 	}
 	if _, err := b.store.Write(ctx, nil, puts); err != nil {
-		return err
+		return errors.Join(err, b.store.RevokeLease(ctx, lease))
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/forward/elmnotice/elmnotice_test.go
+++ b/internal/forward/elmnotice/elmnotice_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +142,17 @@
 		return f.listed(t)["k/old"] == "second" && f.listed(t)["k/new"] == "v"
 	})
 }
+
+// Guards against leases that stay in the store because the write of their notices failed.
+func TestFailedWriteEndsItsLease(t *testing.T) {
+	f := newFixture(t)
+	var ended atomic.Int32
+	f.stand.RefuseWhen(func(r *http.Request) bool {
+		if strings.Contains(r.URL.Path, "/kv-lease-end/") {
+			ended.Add(1)
+		}
+		return strings.HasSuffix(r.URL.Path, "/kv-txn")
+	})
+	f.newBoard(t).Post(elmnotice.Notice{Key: "k", Value: "v", TTL: time.Minute}, elmclock.Now())
+	eventually(t, "ended", func() bool { return ended.Load() > 0 })
+}
