Poll broken groups in one loop that ends with the router

Cause, by reading: the goroutine that polled a group marked it open before it took itself out of the list of polls. A group that broke again in between was marked broken without a poll, and stayed so until a request found it out. Its calls also had a context of their own and could outlive the router's end.

The set of broken services is now changed under the lock that changes the placement, and one loop polls all of them, with the router's context.

The lost wake-up needs a pause between two statements and can't be forced from outside, so no test fails on the old code; TestBrokenGroupIsPolledUntilOpen guards what the polls are for: twice broken, twice open again, no poll after the end.

--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -80,14 +80,17 @@
 	peers    *elmpeers.Peers
 	exchange *elmexchange.Client
 	board    *elmnotice.Board
+	// pollWake is sent to when a group was found broken.
+	pollWake chan struct{}
 	draining atomic.Bool
 	ready    atomic.Bool
 	// informed is set when the notices of a first snapshot have been applied.
 	informed atomic.Bool
 
-	mutex   sync.Mutex
-	placer  *elmplace.Placer
-	polling map[string]bool
+	mutex  sync.Mutex
+	placer *elmplace.Placer
+	// broken holds the services whose groups are polled because they are broken.
+	broken map[string]struct{}
 	// lost holds the endpoints that are being checked for a crash, by ID.
 	lost     map[string]*lostResponses
 	detector *elmcrash.Detector
@@ -110,7 +113,8 @@
 		settings: settings, logger: logger, meter: elmmeter.New(),
 		store:           platform.NewStore(settings.Store),
 		ranks:           platform.NewRankClient(reportTimeout),
-		polling:         map[string]bool{},
+		broken:          map[string]struct{}{},
+		pollWake:        make(chan struct{}, 1),
 		lost:            map[string]*lostResponses{},
 		detector:        elmcrash.New(time.Now().UnixMilli()),
 		applied:         map[string]string{},
@@ -185,6 +189,7 @@
 	go r.cleanUp(base)
 	go r.board.Run(base)
 	go r.watchNotices(base)
+	go r.pollGroups(base)
 	planning, endPlanning := context.WithCancel(base)
 	defer endPlanning()
 	go elmplanner.New(r.settings, r.store, r.follower.Snapshot, r.logger).Run(planning)
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmslow"
@@ -205,9 +206,10 @@
 	now := elmclock.Now()
 	r.mutex.Lock()
 	changed := r.placer.SetBroken(service, broken, now)
-	poll := broken && !r.polling[service]
-	if poll {
-		r.polling[service] = true
+	if broken {
+		r.broken[service] = struct{}{}
+	} else {
+		delete(r.broken, service)
 	}
 	r.mutex.Unlock()
 	if changed {
@@ -217,29 +219,48 @@
 		}
 		r.logger.Event(event, "service", service, "cause", cause)
 	}
-	if poll {
-		go r.pollGroup(service)
+	select {
+	case r.pollWake <- struct{}{}:
+	default:
 	}
 }
 
-// pollGroup polls the ranks of a group until one reports that the group is open.
-func (r *Router) pollGroup(service string) {
-	defer func() {
+// pollGroups polls the ranks of broken groups until they report that their group is
+// open.
+func (r *Router) pollGroups(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; turn++ {
 		r.mutex.Lock()
-		defer r.mutex.Unlock()
-		delete(r.polling, service)
-	}()
-	for turn := 0; !r.draining.Load(); turn++ {
-		elmclock.Wait(context.Background(), pollInterval)
-		members := r.follower.Snapshot().Members(service, elmclock.Now())
-		if len(members) == 0 {
+		services := slices.Sorted(maps.Keys(r.broken))
+		r.mutex.Unlock()
+		if len(services) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-r.pollWake:
+			}
 			continue
 		}
-		report, err := r.ranks.Report(context.Background(), members[turn%len(members)].Address)
-		if err == nil && report.Open {
-			r.setBroken(service, false, "reported by "+members[turn%len(members)].ID)
-			return
+		elmclock.Wait(ctx, pollInterval)
+		var wait sync.WaitGroup
+		for _, s := range services {
+			wait.Go(func() { r.pollGroup(ctx, s, turn) })
 		}
+		wait.Wait()
+	}
+}
+
+// pollGroup polls one rank of a broken group.
+func (r *Router) pollGroup(ctx context.Context, service string, turn int) {
+	members := r.follower.Snapshot().Members(service, elmclock.Now())
+	if len(members) == 0 {
+		return
+	}
+	m := members[turn%len(members)]
+	report, err := r.ranks.Report(ctx, m.Address)
+	switch {
+	case ctx.Err() != nil:
+	case err == nil && report.Open:
+		r.setBroken(service, false, "reported by "+m.ID)
+	default:
 		r.setBroken(service, true, "still broken")
 	}
 }
--- a/internal/forward/elmrouter/retry_test.go
+++ b/internal/forward/elmrouter/retry_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/elmcove/elmcove/platform"
 	"github.com/elmcove/elmcove/platform/stand"
@@ -82,3 +83,56 @@
 	f.eventually("registered twice in vain", func() bool { return granted.Load() >= 2 })
 	f.eventually("ended", func() bool { return ended.Load() >= 1 })
 }
+
+// Guards against a group that stays broken because nobody polls it: the entry polls a
+// rank until it reports that its group is open, also the second time, and not after its
+// own end.
+func TestBrokenGroupIsPolledUntilOpen(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 0, nil)
+	e := stand.NewEndpoint("e0")
+	var open atomic.Bool
+	var polls atomic.Int32
+	host, err := stand.NewHost(t.Context(), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != platform.ReportPath {
+			e.ServeHTTP(w, r)
+			return
+		}
+		polls.Add(1)
+		state := "broken"
+		if open.Load() {
+			state = "open"
+		}
+		_, _ = w.Write([]byte(`{"group":{"name":"g0","epoch":1,"state":"` + state + `"},"size":1}`))
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.endpoints, f.addresses["e0"] = append(f.endpoints, e), host.Address()
+	f.listEndpoint("e0", "ready")
+	document := strings.Replace(string(configuration(2, credential)), `"maxConnections":10`, `"maxConnections":10,"engine":{"slots":4}`, 1)
+	f.store.Put("op/config", []byte(document))
+	served := func() bool { return f.call(t.Context(), "POST", "/once/a", "", nil).status == http.StatusOK }
+	f.eventually("configured", func() bool { return strings.Contains(f.log.String(), `"version":2`) && served() })
+	<-time.After(1500 * time.Millisecond) // The response no longer counts as progress.
+	for range 2 {
+		open.Store(false)
+		e.QueueBehaviours(stand.RejectForFailedRank)
+		before := polls.Load()
+		f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Deadline-Ms": "300"})
+		f.eventually("polled", func() bool { return polls.Load() > before+2 })
+		open.Store(true)
+		f.eventually("served again", served)
+		<-time.After(1500 * time.Millisecond)
+	}
+	f.stop()
+	if err := <-f.done; err != nil {
+		t.Error(err)
+	}
+	f.done <- nil // The fixture reads it as well.
+	ended := polls.Load()
+	<-time.After(400 * time.Millisecond)
+	if polls.Load() != ended {
+		t.Error("ranks are polled after the router's end")
+	}
+}
