Place a migrated stream with the limit of its caller's retry

Cause, by reading: a stream that moves away from a slow rank asked for a slot as a first request, though a caller's retry may take one more than these. It stayed at the slow rank where others had room for it. Both placements now build the same query.

No test of the migration: the stand-in endpoints have no slow ranks. The limit itself has TestLateRequestsLeaveRoom.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -198,7 +198,7 @@
 	members := snapshot.Members(d.service.Name, now)
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
-	query := elmplace.Query{Service: d.service, Tried: c.Tried, CallerRetry: d.callerRetry, Segments: d.requestInfo.Segments}
+	query := d.query(c.Tried)
 	d.member, d.verdict = d.router.placer.Pick(query, members, now)
 	switch d.verdict {
 	case elmplace.NoEndpoint, elmplace.Paused, elmplace.Leaving:
@@ -220,6 +220,11 @@
 	return elmlifecycle.Placed{Endpoint: d.member.ID}
 }
 
+// query describes the request to the placement.
+func (d *delivery) query(tried []string) elmplace.Query {
+	return elmplace.Query{Service: d.service, Tried: tried, CallerRetry: d.callerRetry, Segments: d.requestInfo.Segments}
+}
+
 // release closes the response and frees the endpoint's slot.
 func (d *delivery) release(outcome elmplace.Outcome) {
 	if d.response != nil {
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -139,7 +139,7 @@
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
 	placer := d.router.placer
-	member, verdict := placer.Pick(elmplace.Query{Service: d.service, Tried: d.lifecycle.Tried(), Segments: d.requestInfo.Segments}, members, now)
+	member, verdict := placer.Pick(d.query(d.lifecycle.Tried()), members, now)
 	if verdict != elmplace.Placed || placer.IsSlow(member) || !placer.TakeRetry(d.service.Name, now) {
 		return member, false
 	}
