Measure the recovery from the store's return

elmsoak -recovery runs entries in three data centres, lets their store return from a copy made before they started, and reports when all act on a configuration written then, when all are listed again, and the calls to the store.

--- a/cmd/elmsoak/main.go
+++ b/cmd/elmsoak/main.go
@@ -1,5 +1,7 @@
 // Command elmsoak runs router processes under faults, once for each seed, and
-// checks the delivery guarantees against the records of callers and endpoints.
+// checks the delivery guarantees against the records of callers and endpoints. With
+// -recovery it measures instead how long numbers of entries take to recover when the
+// store returns from a copy.
 package main
 
 import (
@@ -8,6 +10,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/elmcove/elmcove/platform/stand/elmsoak"
@@ -18,8 +22,15 @@
 	seed := flag.Uint64("seed", 1, "first seed")
 	seeds := flag.Uint64("seeds", 1, "number of seeds")
 	length := flag.Duration("length", 12*time.Second, "duration of the faults for each seed")
+	recovery := flag.String("recovery", "", "numbers of entries to measure the recovery of, such as 7,38,120")
 	flag.Parse()
-	broken, err := run(*bin, *seed, *seeds, *length)
+	var broken int
+	var err error
+	if *recovery != "" {
+		err = measureRecovery(*bin, *recovery)
+	} else {
+		broken, err = run(*bin, *seed, *seeds, *length)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "elmsoak:", err)
 		os.Exit(1)
@@ -29,6 +40,28 @@
 	}
 }
 
+// measureRecovery prints a row for each number of entries.
+func measureRecovery(bin, numbers string) error {
+	bin, err := filepath.Abs(bin)
+	if err != nil {
+		return err
+	}
+	fmt.Println("| entries | act on the configuration | listed again | store calls in 10 s | without the return |")
+	fmt.Println("| --- | --- | --- | --- | --- |")
+	for text := range strings.SplitSeq(numbers, ",") {
+		number, err := strconv.Atoi(text)
+		if err != nil || number < 1 {
+			return fmt.Errorf("-recovery: %q is not a number of entries", text)
+		}
+		r, err := elmsoak.MeasureRecovery(context.Background(), bin, number)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("| %d | %.2f s | %.2f s | %d | %d |\n", r.Entries, r.Configured.Seconds(), r.Listed.Seconds(), r.Calls, r.UsualCalls)
+	}
+	return nil
+}
+
 func run(bin string, seed, seeds uint64, length time.Duration) (int, error) {
 	bin, err := filepath.Abs(bin)
 	if err != nil {
