Log the store's errors while an entry acquires the planner's leadership

What an operator saw: a service without a planner, and no line why.

TestStoreErrorsOfLeadershipAreLogged failed before, and passes.

--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -221,3 +222,12 @@
 		t.Errorf("the group was held for %v, want at most 400 ms", longest)
 	}
 }
+
+// Guards against a service without a planner for which the log names no cause, because
+// errors of the store are dropped while an entry acquires the leadership.
+func TestStoreErrorsOfLeadershipAreLogged(t *testing.T) {
+	c := newCluster(t)
+	c.store.RefuseWhen(func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/kv-lease") })
+	c.startPlanner(t, "entry-1")
+	c.eventually(t, "logged", func() bool { return strings.Contains(c.logs.String(), "acquire planner") })
+}
--- a/internal/expert/elmplanner/leadership.go
+++ b/internal/expert/elmplanner/leadership.go
@@ -81,6 +81,7 @@
 	key := platform.InternalPrefix + plannerKeyPrefix + l.service
 	page, err := l.store.RangeStale(ctx, key, "")
 	if err != nil {
+		l.logger.Event(elmlog.StoreDown, "call", "acquire planner", "error", err)
 		return
 	}
 	unchanged := platform.Condition{Key: key, Era: page.Era}
@@ -94,11 +95,15 @@
 	sent := elmclock.Now()
 	lease, err := l.store.GrantLease(ctx, l.term.ttl)
 	if err != nil {
+		l.logger.Event(elmlog.StoreDown, "call", "acquire planner", "error", err)
 		return
 	}
 	value := holder{l.term.instance, lease.Era}.String()
 	put := []platform.Put{{Key: key, Value: []byte(value), Lease: lease}}
 	if _, err := l.store.Write(ctx, []platform.Condition{unchanged}, put); err != nil {
+		if !errors.Is(err, platform.ErrConflict) { // Another entry was first.
+			l.logger.Event(elmlog.StoreDown, "call", "acquire planner", "error", err)
+		}
 		l.endLease(lease)
 		return
 	}
