--- a/internal/forward/elmsnapshot/elmsnapshot_test.go
+++ b/internal/forward/elmsnapshot/elmsnapshot_test.go
@@ -33,6 +33,11 @@
 	return elmsnapshot.Read{Sent: sent, Position: elmsnapshot.Position{Revision: revision}, Changes: changes}
 }
 
+func inEra(era int64, r elmsnapshot.Read) elmsnapshot.Read {
+	r.Position.Era = era
+	return r
+}
+
 func ids(list []elmsnapshot.Member) string {
 	found := ""
 	for _, m := range list {
@@ -75,6 +80,18 @@
 		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), incremental(9*second, 6, listed("a", true))}, at: 9 * second,
 		members: "", lastResort: "",
 	},
+	"endpoint that leaves is not ready again in a store's copy": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", true), listed("b", false)), inEra(2, full(second, 4, listed("a", false), listed("b", false)))}, at: 2 * second,
+		members: "b", lastResort: "b",
+	},
+	"endpoint that a store's copy lacks is kept for a short time": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false), listed("b", false)), inEra(2, full(second, 4, listed("b", false)))}, at: 2 * second,
+		members: "ab", lastResort: "ab",
+	},
+	"endpoint that stays away after the store's return is removed": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false), listed("b", false)), inEra(2, full(second, 4, listed("b", false)))}, at: 4 * second,
+		members: "b", lastResort: "b",
+	},
 	"withdrawn data centre": {
 		reads: []elmsnapshot.Read{full(0, 5, listed("a", false), listed("b", false)), incremental(second, 6, withdrawal("d-a"))}, at: 2 * second,
 		members: "b", lastResort: "ab",
