Take the time to the first event of a resumed stream for its latency

What callers saw: after an endpoint of a plain service had resumed a stream, it got next to no requests for some time, though it was not slow.

Cause: the time to the first byte was counted from the first endpoint's first event, so for the endpoint that resumed it the time of the whole rest counted as latency, and each 30 ms of it weigh as much as one request. TestResumedStreamIsNoLatency failed 3 of 3 times before (under 5 of 20 requests), and passes 3 of 3 times.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -237,8 +237,8 @@
 	d.slotHeld = false
 	now := elmclock.Now()
 	elapsed := now - d.sentAt
-	if d.firstByte > d.sentAt {
-		elapsed = d.firstByte - d.sentAt
+	if first := max(d.firstByte, d.progressFrom); first > d.sentAt {
+		elapsed = first - d.sentAt
 	}
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
--- a/internal/forward/elmrouter/retry_test.go
+++ b/internal/forward/elmrouter/retry_test.go
@@ -136,3 +136,24 @@
 		t.Error("ranks are polled after the router's end")
 	}
 }
+
+// Guards against an endpoint that counts as slow because the time of a whole stream that
+// it resumed is taken for its time to the first byte.
+func TestResumedStreamIsNoLatency(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2, nil)
+	f.endpoints[0].QueueBehaviours(stand.TruncateStream)
+	resumed := func() bool { return strings.Contains(f.log.String(), `"event":1407`) }
+	f.eventually("resumed", func() bool {
+		got := f.call(t.Context(), "POST", "/stream/a?stream=1&pause=300", "", map[string]string{"Deadline-Ms": "5000"})
+		return got.err == nil && got.body == wholeStream && resumed()
+	})
+	<-time.After(3 * time.Second) // The failure of the first endpoint is forgotten.
+	before := len(f.endpoints[1].Requests())
+	for range 20 {
+		f.call(t.Context(), "POST", "/once/a", "", nil)
+	}
+	if n := len(f.endpoints[1].Requests()) - before; n < 5 {
+		t.Errorf("the endpoint that resumed the stream got %d of 20 requests", n)
+	}
+}
