Log why a rank agent can't release a held group without a configuration

Cause: a store that answered without a configuration was logged like a failed call. TestMissingConfigurationIsLogged failed before, and passes.

--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -231,3 +231,15 @@
 	c.startPlanner(t, "entry-1")
 	c.eventually(t, "logged", func() bool { return strings.Contains(c.logs.String(), "acquire planner") })
 }
+
+// Guards against a log line without a cause: the agent of a held group finds no
+// configuration to release it by.
+func TestMissingConfigurationIsLogged(t *testing.T) {
+	c := newCluster(t)
+	c.store.Delete("op/config")
+	c.group.Hold(0)
+	c.eventually(t, "logged", func() bool { return strings.Contains(c.logs.String(), `"call":"read configuration"`) })
+	if strings.Contains(c.logs.String(), `"call":"read configuration","error":null`) {
+		t.Error("the line names no error")
+	}
+}
--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -28,6 +28,9 @@
 // ErrAgent means that the agent can't run.
 var ErrAgent = errors.New("rank agent")
 
+// errNoConfiguration means that the store has no configuration.
+var errNoConfiguration = fmt.Errorf("%w: no configuration", ErrAgent)
+
 const (
 	// callTimeout bounds a call to the agent's rank.
 	callTimeout = 250 * time.Millisecond
@@ -134,7 +137,10 @@
 		return
 	}
 	page, err := a.store.RangeStale(ctx, platform.ConfigKey, "")
-	if err != nil || len(page.Items) == 0 {
+	if err == nil && len(page.Items) == 0 {
+		err = errNoConfiguration
+	}
+	if err != nil {
 		a.logger.Event(elmlog.StoreDown, "call", "read configuration", "error", err)
 		return
 	}
