--- a/internal/forward/elmsnapshot/era_test.go
+++ b/internal/forward/elmsnapshot/era_test.go
@@ -1,6 +1,7 @@
 package elmsnapshot_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 			next := m
 			next.now += eventInterval
 			apply(&next)
-			path := append(trace[:len(trace):len(trace)], name)
+			path := slices.Concat(trace, []string{name})
 			for i := range next.entries {
 				before, after := m.entries[i], next.entries[i]
 				if after.Catalog().Version() < before.Catalog().Version() {
