Grant one lease for the concurrent first writes of an hour

What the service saw: each of the writes that came while an hour had no lease yet was granted one of its own (16 for 16 writes), and all but the last stayed for 13 hours.

Concurrent calls now share the call that grants the lease. TestConcurrentWritesShareLease failed before, and passes.

--- a/internal/registry/elmstore/elmstore.go
+++ b/internal/registry/elmstore/elmstore.go
@@ -18,9 +18,12 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
 
@@ -54,6 +57,7 @@
 type Store struct {
 	client *elmkvapi.Client
 
+	grants singleflight.Group
 	mutex  sync.Mutex
 	leases map[int64]string
 }
@@ -175,6 +179,27 @@
 }
 
 func (s *Store) lease(ctx context.Context, hour int64, ttl time.Duration) (string, error) {
+	s.mutex.Lock()
+	id, ok := s.leases[hour]
+	s.mutex.Unlock()
+	if ok {
+		return id, nil
+	}
+	granted := s.grants.DoChan(strconv.FormatInt(hour, 10), func() (any, error) {
+		return s.grantLease(context.WithoutCancel(ctx), hour, ttl)
+	})
+	select {
+	case result := <-granted:
+		lease, _ := result.Val.(string)
+		return lease, result.Err
+	case <-ctx.Done():
+		return "", fmt.Errorf("%w: grant lease: %w", ErrUnavailable, ctx.Err())
+	}
+}
+
+// grantLease returns the lease of an hour, which it lets the service grant unless a
+// concurrent call has.
+func (s *Store) grantLease(ctx context.Context, hour int64, ttl time.Duration) (string, error) {
 	s.mutex.Lock()
 	id, ok := s.leases[hour]
 	s.mutex.Unlock()
--- a/internal/registry/elmstore/elmstore_test.go
+++ b/internal/registry/elmstore/elmstore_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net/http/httptest"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -66,3 +68,26 @@
 		So(platform.Counts().Leases, ShouldEqual, 2)
 	})
 }
+
+// Guards against a lease for each of the first writes of an hour that come at once.
+func TestConcurrentWritesShareLease(t *testing.T) {
+	platform := elmplatform.New()
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	store, err := elmstore.New(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wait sync.WaitGroup
+	for n := range 16 {
+		wait.Go(func() {
+			if _, err := store.SwapWithLease(t.Context(), strconv.Itoa(n), 0, []byte("x"), 1, time.Hour); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+	if n := platform.Counts().Leases; n != 1 {
+		t.Errorf("%d leases, want 1", n)
+	}
+}
