Replace an hour's lease after a write with it has failed

What callers would see: keyed requests refused for up to an hour after the service had lost a lease, since each write was sent with the lost one.

A failed write now drops the lease, and the next one asks for another. The stand-in service refuses unknown leases, which it took for none before. TestLostLeaseIsReplaced failed before, and passes.

--- a/internal/registry/elmstore/elmstore.go
+++ b/internal/registry/elmstore/elmstore.go
@@ -103,7 +103,20 @@
 	if err != nil {
 		return Result{}, err
 	}
-	return s.swap(ctx, key, expect, data, elmkvapi.NewOptString(lease))
+	result, err := s.swap(ctx, key, expect, data, elmkvapi.NewOptString(lease))
+	if err != nil {
+		s.dropLease(hour, lease)
+	}
+	return result, err
+}
+
+// dropLease forgets the lease of an hour, which the service may have lost.
+func (s *Store) dropLease(hour int64, lease string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.leases[hour] == lease {
+		delete(s.leases, hour)
+	}
 }
 
 // Instances returns the instances known to the platform. The list may be out of
--- a/internal/registry/elmstore/elmstore_test.go
+++ b/internal/registry/elmstore/elmstore_test.go
@@ -91,3 +91,29 @@
 		t.Errorf("%d leases, want 1", n)
 	}
 }
+
+// Guards against writes that fail for the rest of an hour because the service has lost
+// the hour's lease.
+func TestLostLeaseIsReplaced(t *testing.T) {
+	platform := elmplatform.New()
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	store, err := elmstore.New(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(key string) error {
+		_, err := store.SwapWithLease(t.Context(), key, 0, []byte("x"), 1, time.Hour)
+		return err
+	}
+	if err := write("a"); err != nil {
+		t.Fatal(err)
+	}
+	platform.LoseLeases()
+	if err := write("b"); !errors.Is(err, elmstore.ErrUnavailable) {
+		t.Errorf("a write with a lost lease: %v", err)
+	}
+	if err := write("b"); err != nil {
+		t.Errorf("the next write: %v", err)
+	}
+}
--- a/internal/stand/elmplatform/elmplatform.go
+++ b/internal/stand/elmplatform/elmplatform.go
@@ -160,6 +160,13 @@
 	return &ok, nil
 }
 
+// LoseLeases forgets all leases. Values that are bound to them stay until they expire.
+func (p *Platform) LoseLeases() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	clear(p.leases)
+}
+
 // GrantLease implements elmkvapi.Handler.
 func (p *Platform) GrantLease(ctx context.Context, params elmkvapi.GrantLeaseParams) (*elmkvapi.Lease, error) {
 	if err := p.injectFault(ctx); err != nil {
@@ -295,7 +302,11 @@
 	}
 	e = entry{version: e.version + 1, data: data}
 	if params.Lease.Set {
-		e.expires = p.leases[params.Lease.Value]
+		expires, ok := p.leases[params.Lease.Value]
+		if !ok {
+			return nil, false, fmt.Errorf("no lease %q", params.Lease.Value)
+		}
+		e.expires = expires
 	}
 	p.values[params.Key] = e
 	p.notify()
