Report the log lines that were dropped at the end of a process

What an operator saw: no 1007 for lines that were dropped in the last interval before a process ended.

Cause: only the ticker of Run reported them. Flush now reports them after it has written what was queued. TestLinesDroppedAtTheEnd guards it; with the old Flush there was nothing to call.

--- a/internal/command/elmcommand/onplatform.go
+++ b/internal/command/elmcommand/onplatform.go
@@ -103,7 +103,8 @@
 	logger := elmlog.NewJSON(settings.Instance, sink)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wait sync.WaitGroup
-	wait.Go(func() { sink.Run(background, func(n int64) { logger.Event(elmlog.LinesDropped, "lines", n) }) })
+	reportDropped := func(n int64) { logger.Event(elmlog.LinesDropped, "lines", n) }
+	wait.Go(func() { sink.Run(background, reportDropped) })
 	wait.Go(func() { watchSettings(background, path, logger) })
 	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	err = run(ctx, settings, logger)
@@ -113,7 +114,7 @@
 	}
 	stop()
 	wait.Wait()
-	sink.Flush()
+	sink.Flush(reportDropped)
 	return err
 }
 
--- a/internal/observe/elmsink/elmsink.go
+++ b/internal/observe/elmsink/elmsink.go
@@ -65,9 +65,19 @@
 	}
 }
 
-// Flush writes the queued lines, for a limited time.
-func (s *Sink) Flush() {
+// Flush writes the queued lines, for a limited time, and reports how many lines were
+// dropped since the last report.
+func (s *Sink) Flush(report func(dropped int64)) {
 	deadline := time.Now().Add(flushTimeout)
+	s.drain(deadline)
+	if n := s.dropped.Swap(0); n > 0 {
+		report(n)
+		s.drain(deadline)
+	}
+}
+
+// drain writes the queued lines until a deadline.
+func (s *Sink) drain(deadline time.Time) {
 	for time.Now().Before(deadline) {
 		select {
 		case line := <-s.lines:
--- a/internal/observe/elmsink/elmsink_test.go
+++ b/internal/observe/elmsink/elmsink_test.go
@@ -1,8 +1,11 @@
 package elmsink_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,3 +38,18 @@
 		wait.Wait()
 	})
 }
+
+// Guards against dropped lines that nobody learns of, because the process ends before the
+// next report.
+func TestLinesDroppedAtTheEnd(t *testing.T) {
+	var target bytes.Buffer
+	sink := elmsink.New(&target)
+	for range 5000 {
+		_, _ = sink.Write([]byte("line\n"))
+	}
+	sink.Flush(func(n int64) { _, _ = fmt.Fprintf(sink, "%d dropped\n", n) })
+	written := strings.Count(target.String(), "line\n")
+	if want := fmt.Sprintf("%d dropped\n", 5000-written); !strings.HasSuffix(target.String(), want) {
+		t.Errorf("the log does not end with %q", want)
+	}
+}
