Kill every process of the local stand that outlives its stop time

Cause, by reading: the timer of Stop fired once, so that after one hung process was killed the wait for a second one had no end. No test: the programs end on SIGTERM.

--- a/internal/stand/elmlocal/elmlocal.go
+++ b/internal/stand/elmlocal/elmlocal.go
@@ -109,12 +109,13 @@
 	for _, r := range s.relays {
 		r.Close()
 	}
-	deadline := time.After(stopTimeout)
+	deadline, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
 	for name, done := range s.done {
 		select {
 		case <-done:
-		case <-deadline:
-			_ = s.processes[name].Process.Kill()
+		case <-deadline.Done():
+			_ = s.processes[name].Process.Kill() // It may have exited.
 		}
 	}
 }
