Close a connection that was dialled while the relay began to refuse

Cause, by reading: a connection that was being dialled when Refuse was set was added afterwards and stayed open through the fault. The fault is now checked under the lock that adds it. No test: the moment between the two can't be forced from outside.

--- a/internal/stand/elmtcprelay/elmtcprelay.go
+++ b/internal/stand/elmtcprelay/elmtcprelay.go
@@ -111,14 +111,26 @@
 			_ = client.Close()
 			continue
 		}
-		r.mutex.Lock()
-		r.open[client], r.open[target] = true, true
-		r.mutex.Unlock()
+		if !r.add(client, target) {
+			continue
+		}
 		go r.forward(ctx, target, client, Stall)
 		go r.forward(ctx, client, target, StallResponses)
 	}
 }
 
+// add records an open connection, or closes it if connections are refused meanwhile.
+func (r *Relay) add(client, target net.Conn) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.fault == Refuse {
+		_, _ = client.Close(), target.Close()
+		return false
+	}
+	r.open[client], r.open[target] = true, true
+	return true
+}
+
 // forward copies data in one direction. Stall and the given fault stall it.
 func (r *Relay) forward(ctx context.Context, to, from net.Conn, stalledBy Fault) {
 	defer to.Close()   //nolint:errcheck // The connection is no longer used.
