Remove the job command Stop, which had no effect

A cancelled request is cancelled at its endpoint by the context of its stream, before the state machine hears of it; the runtime ignored the command. The transition to done has no action now. TestAbandonedIsCancelled guards the cancellation.

--- a/internal/agent/elmjob/commands.go
+++ b/internal/agent/elmjob/commands.go
@@ -14,8 +14,6 @@
 	}
 	// Run sends the request to the endpoint.
 	Run struct{}
-	// Stop cancels the request at the endpoint.
-	Stop struct{}
 	// End sends the last frame of a complete response.
 	End struct{}
 	// Refuse ends the job without a complete response.
@@ -24,6 +22,5 @@
 
 func (Swap) command()   {}
 func (Run) command()    {}
-func (Stop) command()   {}
 func (End) command()    {}
 func (Refuse) command() {}
--- a/internal/agent/elmjob/elmjob.go
+++ b/internal/agent/elmjob/elmjob.go
@@ -142,8 +142,6 @@
 		return j.swap(j.record())
 	case "run":
 		return j, []Command{Run{}}
-	case "stop":
-		return j, []Command{Stop{}}
 	case "end":
 		return j, []Command{End{}}
 	case "refuse-unrun":
