Log endpoints that turn cold because they failed

What an operator saw: an endpoint's load was reduced without event 1501 after it had failed a request, as only slow steps were logged.

Both ways now set the limit in one place that logs. TestFailedEndpointIsLoggedAsCold failed before, and passes.

--- a/internal/agent/elmagent/load.go
+++ b/internal/agent/elmagent/load.go
@@ -23,11 +23,17 @@
 func (a *Agent) observe(step time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.setLimitLocked(a.limit.WithDemand(a.gate.Demand()).Observe(step, time.Now()), "step", step)
+}
+
+// setLimitLocked sets the learned concurrency limit, and logs if the endpoint has turned
+// cold by it. Cause describes why, as key-value pairs.
+func (a *Agent) setLimitLocked(limit elmconcurrency.Limit, cause ...any) {
 	before := a.limit.Learned()
-	a.limit = a.limit.WithDemand(a.gate.Demand()).Observe(step, time.Now())
+	a.limit = limit
 	a.updateLimitLocked()
-	if before > 1 && a.limit.Learned() == 1 {
-		a.logger.Event(elmlog.EndpointCold, "step", step, "limit", before)
+	if before > 1 && limit.Learned() == 1 {
+		a.logger.Event(elmlog.EndpointCold, append(cause, "limit", before)...)
 	}
 }
 
@@ -69,6 +75,5 @@
 func (a *Agent) resetToCold() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.limit = a.limit.ResetToCold(time.Now())
-	a.updateLimitLocked()
+	a.setLimitLocked(a.limit.ResetToCold(time.Now()), "cause", "failed request")
 }
