--- a/internal/stand/elmlockstep/planner.go
+++ b/internal/stand/elmlockstep/planner.go
@@ -37,7 +37,7 @@
 func newPlanner() planner { return planner{demand: elmdemand.New(sets, experts)} }
 
 // reset discards a map that was prepared in an earlier epoch.
-func (p *planner) reset() { p.next = nil }
+func (p *planner) reset() { p.next, p.copyingUntil = nil, 0 }
 
 // mapForPass returns the map for a pass that begins now, and ends the rollout once its
 // map takes effect.
