--- a/internal/stand/elmlockstep/callers.go
+++ b/internal/stand/elmlockstep/callers.go
@@ -143,12 +143,14 @@
 			promptTokens: drawSize(sm.random, meanPrompt, 3), eventsLeft: drawSize(sm.random, meanEvents, 2.5), state: waiting, waitUntil: sm.now,
 		}
 		sm.requests, sm.open = append(sm.requests, q), append(sm.open, q)
+		sm.recordRequest(q)
 	}
 	sm.open = slices.DeleteFunc(sm.open, func(q *request) bool { return q.state >= completed })
 	for _, q := range sm.open {
 		switch {
 		case q.state == backingOff && sm.now >= q.retryAt:
 			q.state, q.waitUntil = waiting, sm.now+elmretryafter.MaxWait
+			sm.recordRequest(q)
 			sm.tryPlace(q)
 		case q.state == waiting && (q.waitUntil <= sm.now || sm.now%elmretryafter.SlotPollInterval == 0):
 			sm.tryPlace(q)
@@ -158,6 +160,11 @@
 	}
 }
 
+// recordRequest counts a request that an entry receives for the entry's retry budget.
+func (sm *simulation) recordRequest(q *request) {
+	sm.entries[q.entry].placer.RecordRequest(service.Name, sm.now)
+}
+
 // drawSize draws a log-normal size with a mean, capped at maxFactor times the mean.
 func drawSize(random *rand.Rand, mean, maxFactor float64) int {
 	return int(max(1, min(mean*math.Exp(0.6*random.NormFloat64()-0.18), mean*maxFactor)))
