Tell a data centre that starts no requests from a slow one in make measure

Cause, by reading: the time-out of the wait was reported as the time after which the data centre started requests again.

--- a/cmd/elmmeasure/load.go
+++ b/cmd/elmmeasure/load.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -227,15 +228,16 @@
 }
 
 // waitForStart waits until the engines of the data centre start requests again, for at
-// most calmTime, and returns the current time.
-func (l *loadGenerator) waitForStart(ctx context.Context) time.Time {
+// most calmTime. It returns the time since the data centre's return in seconds, or
+// infinity if they did not.
+func (l *loadGenerator) waitForStart(ctx context.Context, returnedAt time.Time) float64 {
 	started := l.site.EngineCounts(ctx, awayDatacentre).Started
 	for limit := time.Now().Add(calmTime); time.Now().Before(limit); sleep(ctx, pollInterval) {
 		if l.site.EngineCounts(ctx, awayDatacentre).Started > started {
-			break
+			return time.Since(returnedAt).Seconds()
 		}
 	}
-	return time.Now()
+	return math.Inf(1)
 }
 
 // sleep waits for a time, or until the context is done.
--- a/cmd/elmmeasure/report.go
+++ b/cmd/elmmeasure/report.go
@@ -42,15 +42,15 @@
 	firstToken time.Duration
 	tokenGap   time.Duration
 	// resumedAfter is the time from the return of the data centre until it starts
-	// requests again.
-	resumedAfter time.Duration
+	// requests again in seconds, or infinity if it did not within calmTime.
+	resumedAfter float64
 	// overrun counts the requests that engines received beyond their capacity.
 	overrun int
 }
 
 // result summarizes a run. Times to tokens are those of the drafts sent between leftAt
 // and returnedAt.
-func (l *loadGenerator) result(leftAt, returnedAt time.Time, lastStart, resumedAfter time.Duration) result {
+func (l *loadGenerator) result(leftAt, returnedAt time.Time, lastStart time.Duration, resumedAfter float64) result {
 	ctx := context.WithoutCancel(l.ctx)
 	r := result{drafts: len(l.drafts), unanswered: l.unanswered, lastStart: lastStart, resumedAfter: resumedAfter}
 	var firsts, gaps []time.Duration
@@ -116,6 +116,6 @@
 		summary(func(r result) float64 { return r.lastStart.Seconds() }, "%.2f"),
 		summary(func(r result) float64 { return float64(r.firstToken.Microseconds()) / 1000 }, "%.1f"),
 		summary(func(r result) float64 { return float64(r.tokenGap.Microseconds()) / 1000 }, "%.1f"),
-		summary(func(r result) float64 { return r.resumedAfter.Seconds() }, "%.2f"),
+		summary(func(r result) float64 { return r.resumedAfter }, "%.2f"),
 		count(func(r result) int { return r.overrun }))
 }
--- a/cmd/elmmeasure/scenario.go
+++ b/cmd/elmmeasure/scenario.go
@@ -100,10 +100,10 @@
 		return result{}, err
 	}
 	l.avoid("")
-	resumedAt := l.waitForStart(ctx)
+	resumedAfter := l.waitForStart(ctx, returnedAt)
 	sleep(ctx, time.Until(returnedAt.Add(calmTime)))
 	l.end()
-	r := l.result(leftAt, returnedAt, lastStart, resumedAt.Sub(returnedAt))
+	r := l.result(leftAt, returnedAt, lastStart, resumedAfter)
 	if r.overrun > 0 || r.lost > 0 || r.ranTwice > 0 {
 		fmt.Fprintf(os.Stderr, "%s, run %d: a guarantee was violated, logs are kept in %s\n", s.name, seed, folder)
 		return r, nil
