Log a repair as a release only if the group was released

What an operator saw: 1525, released, also for a repair that had ended because the group restarted or the hold could not be taken over.

A rollout now knows whether all holding ranks have released the group; otherwise the new event 1533 is logged.

--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -214,7 +214,11 @@
 	rollout, commands := elmrollout.Repair(plan, held, v.Reports)
 	rollout = c.run(ctx, v, rollout, commands)
 	c.record(v.Epoch, rollout)
-	c.logger.Event(elmlog.GroupRepaired, "epoch", v.Epoch, "held", held, "elapsed", time.Since(began))
+	event := elmlog.GroupNotRepaired
+	if rollout.Released() {
+		event = elmlog.GroupRepaired
+	}
+	c.logger.Event(event, "epoch", v.Epoch, "held", held, "elapsed", time.Since(began))
 }
 
 func (c *Controller) newPlan(v View, current, next elmrank.Map) elmrollout.Plan {
--- a/internal/expert/elmrollout/elmrollout.go
+++ b/internal/expert/elmrollout/elmrollout.go
@@ -100,6 +100,7 @@
 	holdAttempts int
 	version      int64
 	committed    bool
+	released     bool
 	// inherited holds the passes that ranks hold for an earlier planner, by rank. It
 	// is nil except in a repair.
 	inherited map[int]int64
@@ -149,6 +150,9 @@
 // Committed reports whether the group switches to the new map.
 func (s Rollout) Committed() bool { return s.committed }
 
+// Released reports whether all ranks that held the group have released it.
+func (s Rollout) Released() bool { return s.released }
+
 // State returns the name of the current phase.
 func (s Rollout) State() string { return s.state }
 
@@ -306,6 +310,7 @@
 	if !ok {
 		return s.advance()
 	}
+	s.released = s.released || s.state == releasing && event == "all"
 	s.state = step.Next
 	for r := range s.ranks {
 		rs := &s.ranks[r]
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -65,6 +65,7 @@
 	MapUnknown          Event = 1530
 	OrderNotAccepted    Event = 1531
 	EndpointBroken      Event = 1532
+	GroupNotRepaired    Event = 1533
 	LeavingAnnounced    Event = 1541
 	PauseAnnounced      Event = 1542
 	PauseEnded          Event = 1543
@@ -131,6 +132,7 @@
 	MapUnknown:          {hclog.Warn, "expert map in use can't be read", "None if it is rare. Otherwise check the rank's agent."},
 	OrderNotAccepted:    {hclog.Info, "rank did not accept an order", "None if it is rare. If one rank rejects the same order repeatedly, check its report."},
 	EndpointBroken:      {hclog.Warn, "endpoint's group is broken, other groups of the service are not", "Check the endpoint that is reported as failed. If this persists, the endpoint belongs to no complete group."},
+	GroupNotRepaired:    {hclog.Warn, "held group was not released", "None if 1518 or another 1525 follows. Otherwise check the ranks that hold it."},
 	InstanceListSuspect: {hclog.Warn, "instance list shrank suddenly and is not trusted", "Check the platform's instance list. Until it recovers, links show which agents are alive."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
 	LinkDown:            {hclog.Warn, "link down", "If it stays down, check the agent's instance and the network between the two."},
