--- a/internal/forward/elmsnapshot/elmsnapshot.go
+++ b/internal/forward/elmsnapshot/elmsnapshot.go
@@ -65,8 +65,8 @@
 	// sent is when the newest answered read was sent.
 	sent     time.Duration
 	position Position
-	// retainUntil is the time until which a full read in a new era removes nothing,
-	// because the owners of lost keys write them again.
+	// retainUntil is the time until which a full read in a new era removes no withdrawals
+	// and system keys, because the owners of lost ones write them again.
 	retainUntil   time.Duration
 	known         bool
 	leaveGrace    time.Duration
