Look for attempts left where a retry is taken

The comparison is now in takeRetry itself, so that none can be forgotten. Behaviour is the same; TestRetriesAreTakenOnlyWithAttemptsLeft, TestStreams, TestOutcomes and TestRepeatsOfABrokenService pass.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -245,9 +245,12 @@
 	d.router.placer.End(d.member.ID, outcome, elapsed, now)
 }
 
-// takeRetry takes one retry from the service's retry budget and reports whether
-// there was one.
+// takeRetry takes one retry from the service's retry budget if the request has attempts
+// left, and reports whether there was one.
 func (d *delivery) takeRetry() bool {
+	if len(d.lifecycle.Tried()) >= d.route.Attempts {
+		return false
+	}
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
 	return d.router.placer.TakeRetry(d.service.Name, elmclock.Now())
@@ -282,18 +285,15 @@
 	}
 	d.release(elmplace.Failed)
 	if unsent {
-		retry := len(d.lifecycle.Tried()) < d.route.Attempts && d.takeRetry()
-		return elmlifecycle.Rejected{NoRetry: !retry}
+		return elmlifecycle.Rejected{NoRetry: !d.takeRetry()}
 	}
 	d.recordLostResponse()
 	return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
 }
 
 // takeRetryIfRetryable takes a retry from the budget if the request may run more than
-// once, as idempotent requests and resumable streams may, and has attempts left.
-func (d *delivery) takeRetryIfRetryable() bool {
-	return d.route.Retryable() && len(d.lifecycle.Tried()) < d.route.Attempts && d.takeRetry()
-}
+// once, as idempotent requests and resumable streams may.
+func (d *delivery) takeRetryIfRetryable() bool { return d.route.Retryable() && d.takeRetry() }
 
 // checkHead returns the message for the head of a response, which has to continue a
 // stream if that is resumed.
@@ -312,8 +312,7 @@
 			outcome = elmplace.Ignored // The pause itself keeps requests away.
 		}
 		d.release(outcome)
-		retry := len(d.lifecycle.Tried()) < d.route.Attempts && !d.groupBroken() && d.takeRetry()
-		return elmlifecycle.Rejected{NoRetry: !retry}
+		return elmlifecycle.Rejected{NoRetry: d.groupBroken() || !d.takeRetry()}
 	case !responseInfo.Sealed || responseInfo.Encoded:
 		d.cause = refusalError{d.response.Status, "response is unsealed or encoded"}
 		d.release(elmplace.Failed)
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -48,7 +48,7 @@
 	d.release(elmplace.Failed)
 	d.recordLostResponse()
 	resumable := events && d.route.Resumable
-	spent := !resumable || len(d.lifecycle.Tried()) >= d.route.Attempts || d.groupBroken() || !d.takeRetry()
+	spent := !resumable || d.groupBroken() || !d.takeRetry()
 	return elmlifecycle.Truncated{Resumable: resumable, NoRetry: spent}
 }
 
