Log the errors of acquiring the leadership in one place

acquire logged the same line after each of its three calls. It returns the error now, and hold logs all but a lost race, as before.

--- a/internal/expert/elmplanner/leadership.go
+++ b/internal/expert/elmplanner/leadership.go
@@ -56,7 +56,9 @@
 	case renewLease:
 		l.renew(ctx)
 	case acquireLeadership:
-		l.acquire(ctx)
+		if err := l.acquire(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
+			l.logger.Event(elmlog.StoreDown, "call", "acquire planner", "error", err)
+		}
 	case noAction:
 	}
 	return l.term.leads(elmclock.Now())
@@ -76,39 +78,35 @@
 }
 
 // acquire writes the leadership key with a new lease, unless another entry holds the
-// key or changes it meanwhile.
-func (l *leadership) acquire(ctx context.Context) {
+// key. It returns platform.ErrConflict if another entry changes the key meanwhile.
+func (l *leadership) acquire(ctx context.Context) error {
 	key := platform.InternalPrefix + plannerKeyPrefix + l.service
 	page, err := l.store.RangeStale(ctx, key, "")
 	if err != nil {
-		l.logger.Event(elmlog.StoreDown, "call", "acquire planner", "error", err)
-		return
+		return err
 	}
 	unchanged := platform.Condition{Key: key, Era: page.Era}
 	if len(page.Items) > 0 {
 		current := parseHolder(string(page.Items[0].Value))
 		if current.instance != l.term.instance && current.era == page.Era {
-			return
+			return nil
 		}
 		unchanged.Revision = page.Items[0].Revision
 	}
 	sent := elmclock.Now()
 	lease, err := l.store.GrantLease(ctx, l.term.ttl)
 	if err != nil {
-		l.logger.Event(elmlog.StoreDown, "call", "acquire planner", "error", err)
-		return
+		return err
 	}
 	value := holder{l.term.instance, lease.Era}.String()
 	put := []platform.Put{{Key: key, Value: []byte(value), Lease: lease}}
 	if _, err := l.store.Write(ctx, []platform.Condition{unchanged}, put); err != nil {
-		if !errors.Is(err, platform.ErrConflict) { // Another entry was first.
-			l.logger.Event(elmlog.StoreDown, "call", "acquire planner", "error", err)
-		}
 		l.endLease(lease)
-		return
+		return err
 	}
 	l.term = l.term.withLease(lease, sent)
 	l.logger.Event(elmlog.PlannerChosen, "service", l.service)
+	return nil
 }
 
 // release ends the leadership.
