--- a/internal/forward/elmsnapshot/elmsnapshot.go
+++ b/internal/forward/elmsnapshot/elmsnapshot.go
@@ -177,11 +177,10 @@
 	if s.known && m.Position.Era > s.position.Era {
 		next.retainUntil = max(m.Sent, m.Received) + retainTime
 	}
-	retain := m.Sent < next.retainUntil
-	afterOutage := s.known && (retain || m.Sent-s.sent > outageThreshold)
+	afterOutage := s.known && (next.retains(m.Sent) || m.Sent-s.sent > outageThreshold)
 	next.members, next.systemKeys = clone(s.members), clone(s.systemKeys)
 	next.withdrawn = clone(s.withdrawn)
-	if m.Full && !retain {
+	if m.Full && !next.retains(m.Sent) {
 		next.systemKeys = map[string]string{}
 	}
 	var notices []Notice
@@ -190,12 +189,16 @@
 		notices = append(notices, next.apply(c, m, afterOutage, listed)...)
 	}
 	if m.Full {
-		notices = append(notices, next.dropMissing(m.Sent, afterOutage, retain, listed)...)
+		notices = append(notices, next.dropMissing(m.Sent, afterOutage, listed)...)
 	}
 	next.sent, next.position, next.known = max(s.sent, m.Sent), m.Position, true
 	return next, notices
 }
 
+// retains reports whether the owners of keys that the store has lost may not have
+// written them again at a time.
+func (s *Snapshot) retains(at time.Duration) bool { return at < s.retainUntil }
+
 // clone returns a copy of a map. The copy is never nil.
 func clone[V any](m map[string]V) map[string]V {
 	if m == nil {
@@ -256,7 +259,7 @@
 
 func (s *Snapshot) addEndpoint(e elmendpoint.Endpoint, at time.Duration, afterOutage bool) []Notice {
 	old, known := s.members[e.ID]
-	if known && at < s.retainUntil && outdated(e, old.Endpoint) {
+	if known && s.retains(at) && outdated(e, old.Endpoint) {
 		return nil // The store's copy is older.
 	}
 	m := Member{Endpoint: e, ColdUntil: at + e.ColdRemaining}
@@ -299,10 +302,10 @@
 
 // dropMissing removes the endpoints that a complete read does not contain, and the
 // withdrawals unless they are retained.
-func (s *Snapshot) dropMissing(at time.Duration, afterOutage, retain bool, listed map[string]bool) []Notice {
+func (s *Snapshot) dropMissing(at time.Duration, afterOutage bool, listed map[string]bool) []Notice {
 	var notices []Notice
 	for _, name := range slices.Sorted(maps.Keys(s.withdrawn)) {
-		if !retain && !listed[datacentrePrefix+name] {
+		if !s.retains(at) && !listed[datacentrePrefix+name] {
 			notices = append(notices, s.setWithdrawn(Withdrawn{Datacentre: name}, afterOutage)...)
 		}
 	}
