--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -6,7 +6,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmslow"
@@ -172,95 +171,3 @@
 	}
 	return all
 }
-
-// reportTimeout bounds one poll of a rank for the state of its group.
-const reportTimeout = 500 * time.Millisecond
-
-// pollInterval is the interval between two polls.
-const pollInterval = 150 * time.Millisecond
-
-// recordProgress records that an endpoint has produced an event of a stream.
-func (r *Router) recordProgress(service, endpoint string, now time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.placer.RecordProgress(service, endpoint, now)
-}
-
-// attributeFailure records that an endpoint rejected a request because of a failed
-// endpoint of its group. The service's group is marked as broken unless other
-// endpoints of the service still make progress.
-func (r *Router) attributeFailure(service, endpoint, failed string) {
-	r.mutex.Lock()
-	groupBroken := r.placer.ReportBroken(service, endpoint, elmclock.Now())
-	r.mutex.Unlock()
-	if groupBroken {
-		r.setBroken(service, true, "rejected by "+endpoint+" for "+failed)
-		return
-	}
-	r.logger.Event(elmlog.EndpointBroken, "service", service, "endpoint", endpoint, "blamed", failed)
-}
-
-// setBroken records whether a group is broken. While it is broken, its ranks are
-// polled in turn for its state.
-func (r *Router) setBroken(service string, broken bool, cause string) {
-	now := elmclock.Now()
-	r.mutex.Lock()
-	changed := r.placer.SetBroken(service, broken, now)
-	if broken {
-		r.broken[service] = struct{}{}
-	} else {
-		delete(r.broken, service)
-	}
-	r.mutex.Unlock()
-	if changed {
-		event := elmlog.GroupOpen
-		if broken {
-			event = elmlog.GroupBroken
-		}
-		r.logger.Event(event, "service", service, "cause", cause)
-	}
-	select {
-	case r.pollWake <- struct{}{}:
-	default:
-	}
-}
-
-// pollGroups polls the ranks of broken groups until they report that their group is
-// open.
-func (r *Router) pollGroups(ctx context.Context) {
-	for turn := 0; ctx.Err() == nil; turn++ {
-		r.mutex.Lock()
-		services := slices.Sorted(maps.Keys(r.broken))
-		r.mutex.Unlock()
-		if len(services) == 0 {
-			select {
-			case <-ctx.Done():
-			case <-r.pollWake:
-			}
-			continue
-		}
-		elmclock.Wait(ctx, pollInterval)
-		var wait sync.WaitGroup
-		for _, s := range services {
-			wait.Go(func() { r.pollGroup(ctx, s, turn) })
-		}
-		wait.Wait()
-	}
-}
-
-// pollGroup polls one rank of a broken group.
-func (r *Router) pollGroup(ctx context.Context, service string, turn int) {
-	members := r.follower.Snapshot().Members(service, elmclock.Now())
-	if len(members) == 0 {
-		return
-	}
-	m := members[turn%len(members)]
-	report, err := r.ranks.Report(ctx, m.Address)
-	switch {
-	case ctx.Err() != nil:
-	case err == nil && report.Open:
-		r.setBroken(service, false, "reported by "+m.ID)
-	default:
-		r.setBroken(service, true, "still broken")
-	}
-}
