--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -12,9 +12,7 @@
 	"bytes"
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,25 +147,6 @@
 	}
 }
 
-// readShared applies what another entry has read. It returns false if there is no
-// such entry or its snapshot is too old; this process then reads the store itself.
-func (f *Follower) readShared(ctx context.Context) bool {
-	before := f.Snapshot()
-	if !before.HasConfig() {
-		return false
-	}
-	started := elmclock.Now()
-	s, ok := f.reader(ctx, before.Position())
-	if !ok || positionOf(s).Before(before.Position()) {
-		return false
-	}
-	sent := started - time.Duration(s.GetAgeMs())*time.Millisecond
-	if sent > before.Sent() {
-		f.applyPeerSnapshot(s, sent, before.Position())
-	}
-	return f.Snapshot().Age(elmclock.Now()) < maxSharedAge
-}
-
 // logStoreState logs when the store becomes unreachable or reachable again. It
 // returns whether it is unreachable.
 func (f *Follower) logStoreState(down bool, err error) bool {
@@ -225,30 +204,6 @@
 	return nil
 }
 
-// withLatestConfig replaces the configuration in items by that of a peer if it is later.
-// A store that has returned from a copy may hold an earlier one than the one in force.
-func (f *Follower) withLatestConfig(ctx context.Context, items []platform.Item) []platform.Item {
-	items = slices.Clone(items)
-	for _, s := range f.peers(ctx, elmsnapshot.Position{}) {
-		for _, i := range s.GetItems() {
-			if i.GetKey() == platform.ConfigKey {
-				items = append(items, platform.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision()})
-			}
-		}
-	}
-	isConfig := func(i platform.Item) bool { return i.Key == platform.ConfigKey }
-	var latest platform.Item
-	for _, i := range items {
-		if isConfig(i) && configVersion(i) > configVersion(latest) {
-			latest = i
-		}
-	}
-	if latest.Key == "" {
-		return items
-	}
-	return append(slices.DeleteFunc(items, isConfig), latest)
-}
-
 // apply updates the snapshot to a position. With full, items replace all earlier
 // items.
 func (f *Follower) apply(sent time.Duration, position elmsnapshot.Position, items []platform.Item, full bool) {
@@ -286,10 +241,18 @@
 		}
 		f.items[i.Key] = i
 	}
-	current := f.items[platform.ConfigKey]
-	if known && !bytes.Equal(current.Value, config.Value) && configVersion(current) < configVersion(config) {
-		f.items[platform.ConfigKey] = config
+	if known {
+		f.items[platform.ConfigKey] = laterConfig(config, f.items[platform.ConfigKey])
+	}
+}
+
+// laterConfig returns the configuration with the higher version, and the second one if
+// they have the same.
+func laterConfig(a, b platform.Item) platform.Item {
+	if !bytes.Equal(a.Value, b.Value) && configVersion(a) > configVersion(b) {
+		return a
 	}
+	return b
 }
 
 // configVersion returns the version of a configuration, or 0 if it can't be decoded.
@@ -367,80 +330,3 @@
 		f.logger.Event(event, "datacentre", n.Datacentre, "revision", revision)
 	}
 }
-
-// PeerSnapshot returns for peers what was read after a position. Of another era it
-// returns everything.
-func (f *Follower) PeerSnapshot(after elmsnapshot.Position) *elmpeer.Snapshot {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	snapshot := f.Snapshot()
-	position := snapshot.Position()
-	s := &elmpeer.Snapshot{Era: position.Era, Revision: position.Revision, AgeMs: snapshot.Age(elmclock.Now()).Milliseconds()}
-	if !after.Before(position) {
-		return s
-	}
-	if after.Era != position.Era {
-		after.Revision = 0
-	}
-	for _, key := range slices.Sorted(maps.Keys(f.items)) {
-		s.Keys = append(s.Keys, key)
-		if i := f.items[key]; i.Revision > after.Revision {
-			s.Items = append(s.Items, &elmpeer.Item{Key: key, Value: i.Value, Revision: i.Revision})
-		}
-	}
-	return s
-}
-
-// fetchFromPeers applies the snapshots of peers, with their age, if they are newer
-// than that of this process.
-func (f *Follower) fetchFromPeers(ctx context.Context) {
-	before := f.Snapshot()
-	if before.Age(elmclock.Now()) < peerFetchAge {
-		return
-	}
-	started := elmclock.Now()
-	for _, s := range f.peers(ctx, before.Position()) {
-		sent := started - time.Duration(s.GetAgeMs())*time.Millisecond
-		if sent <= f.Snapshot().Sent() || s.GetRevision() == 0 || positionOf(s).Before(f.Snapshot().Position()) {
-			continue
-		}
-		f.applyPeerSnapshot(s, sent, before.Position())
-		f.logger.Event(elmlog.PeerUsed, "revision", s.GetRevision(), "age", elmclock.Now()-sent)
-	}
-}
-
-// positionOf returns the position of a peer's snapshot.
-func positionOf(s *elmpeer.Snapshot) elmsnapshot.Position {
-	return elmsnapshot.Position{Era: s.GetEra(), Revision: s.GetRevision()}
-}
-
-// applyPeerSnapshot applies a snapshot that a peer sent for a requested position. If
-// it has no later position, it only confirms that nothing has changed.
-func (f *Follower) applyPeerSnapshot(s *elmpeer.Snapshot, sent time.Duration, after elmsnapshot.Position) {
-	if !after.Before(positionOf(s)) {
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
-		next, _ := f.Snapshot().Update(elmsnapshot.Confirmed{Sent: sent})
-		f.snapshot.Store(&next)
-		return
-	}
-	f.apply(sent, positionOf(s), f.completeItems(s), true)
-}
-
-// completeItems returns all items of a peer's snapshot: the changed ones that it
-// contains, and the known ones for its other keys.
-func (f *Follower) completeItems(s *elmpeer.Snapshot) []platform.Item {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	items := maps.Clone(f.items)
-	for _, i := range s.GetItems() {
-		items[i.GetKey()] = platform.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision()}
-	}
-	var list []platform.Item
-	for _, key := range s.GetKeys() {
-		if i, ok := items[key]; ok {
-			list = append(list, i)
-		}
-	}
-	return list
-}
