Decide in one place when to forget an unlisted endpoint

elmrate had written elmbackoff's loop and its ten minutes again. Both use elmabsence.Absence now. The tests of elmbackoff, elmrate and elmplace pass unchanged.

--- a/internal/forward/elmbackoff/elmbackoff.go
+++ b/internal/forward/elmbackoff/elmbackoff.go
@@ -9,11 +9,11 @@
 //	verdict := list.Check("e-1", started, inFlight, now)
 package elmbackoff
 
-import "time"
+import (
+	"time"
 
-// forgetDelay is how long the announcements of an endpoint that is no longer listed are
-// kept. Entries may be missing from the store after an outage.
-const forgetDelay = 10 * time.Minute
+	"github.com/elmcove/elmcove/internal/limit/elmabsence"
+)
 
 // Verdict tells whether an endpoint may receive a request.
 type Verdict int
@@ -43,8 +43,7 @@
 	pausedUntil time.Duration
 	// recovering is set from the begin of a pause until a request was served after it.
 	recovering bool
-	// missingSince is when the endpoint was first found not to be listed, or 0.
-	missingSince time.Duration
+	absence    elmabsence.Absence
 }
 
 // New returns an empty List.
@@ -112,12 +111,7 @@
 // Forget drops the records of endpoints that have not been listed for a long time.
 func (l *List) Forget(listed func(id string) bool, now time.Duration) {
 	for id, r := range l.records {
-		switch {
-		case listed(id):
-			r.missingSince = 0
-		case r.missingSince == 0:
-			r.missingSince = now
-		case now-r.missingSince > forgetDelay:
+		if r.absence = r.absence.Update(listed(id), now); r.absence.Long(now) {
 			delete(l.records, id)
 			continue
 		}
--- a/internal/limit/elmrate/elmrate.go
+++ b/internal/limit/elmrate/elmrate.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/elmcove/elmcove/internal/limit/elmabsence"
 )
 
 const (
@@ -28,9 +30,6 @@
 	extraOwners = 2
 	// maxSaved is the number of requests that an entry may save up.
 	maxSaved = 1.0
-	// forgetDelay is how long the rate of an endpoint that is no longer listed is
-	// kept. Entries may be missing from the store after an outage.
-	forgetDelay = 10 * time.Minute
 )
 
 // List holds the announced rates by endpoint. It is not safe for concurrent use.
@@ -52,8 +51,7 @@
 	owned      bool
 	ownedAmong []string
 	ownedOf    int
-	// missingSince is when the endpoint was first found not to be listed, or 0.
-	missingSince time.Duration
+	absence    elmabsence.Absence
 }
 
 // New returns an empty List.
@@ -111,12 +109,7 @@
 // Forget drops the rates of endpoints that have not been listed for a long time.
 func (l *List) Forget(listed func(id string) bool, now time.Duration) {
 	for id, r := range l.records {
-		switch {
-		case listed(id):
-			r.missingSince = 0
-		case r.missingSince == 0:
-			r.missingSince = now
-		case now-r.missingSince > forgetDelay:
+		if r.absence = r.absence.Update(listed(id), now); r.absence.Long(now) {
 			delete(l.records, id)
 		}
 	}
