--- a/internal/forward/elmnotice/elmnotice.go
+++ b/internal/forward/elmnotice/elmnotice.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	board := elmnotice.New(store, instance, minLeaseTTL, logger)
+//	board := elmnotice.New(store, minLeaseTTL, logger)
 //	go board.Run(ctx)
 //	board.Post(elmnotice.Notice{Key: "crash/e1", Value: text, TTL: time.Minute}, now)
 //	all := board.Merge(snapshot.SystemKeys(elmnotice.KeyPrefix), now)
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -235,19 +235,6 @@
 // SetSlow sets the list of slow ranks. All ranks of a group wait for them.
 func (p *Placer) SetSlow(list elmslow.List) { p.slow = list }
 
-// SetQuarantine sets the prompt segments that no endpoint may get, with the end of their
-// quarantine.
-func (p *Placer) SetQuarantine(segments map[string]time.Duration) { p.quarantine = segments }
-
-// QuarantineRemaining returns the time until none of the segments is in quarantine, or 0.
-func (p *Placer) QuarantineRemaining(segments []string, now time.Duration) time.Duration {
-	remaining := time.Duration(0)
-	for _, s := range segments {
-		remaining = max(remaining, p.quarantine[s]-now)
-	}
-	return remaining
-}
-
 // Loads returns the number of this entry's requests at each endpoint, by EndpointKey.
 func (p *Placer) Loads() map[uint32]int {
 	loads := map[uint32]int{}
