Read the cached lease of an hour in one place

lease and grantLease repeated the same locked look, and two tests the same set-up. Both tests and their assertions are unchanged otherwise, and pass.

--- a/internal/registry/elmstore/elmstore.go
+++ b/internal/registry/elmstore/elmstore.go
@@ -192,10 +192,7 @@
 }
 
 func (s *Store) lease(ctx context.Context, hour int64, ttl time.Duration) (string, error) {
-	s.mutex.Lock()
-	id, ok := s.leases[hour]
-	s.mutex.Unlock()
-	if ok {
+	if id, ok := s.cachedLease(hour); ok {
 		return id, nil
 	}
 	granted := s.grants.DoChan(strconv.FormatInt(hour, 10), func() (any, error) {
@@ -210,13 +207,18 @@
 	}
 }
 
+// cachedLease returns the lease that the service has granted for an hour, if any.
+func (s *Store) cachedLease(hour int64) (string, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id, ok := s.leases[hour]
+	return id, ok
+}
+
 // grantLease returns the lease of an hour, which it lets the service grant unless a
 // concurrent call has.
 func (s *Store) grantLease(ctx context.Context, hour int64, ttl time.Duration) (string, error) {
-	s.mutex.Lock()
-	id, ok := s.leases[hour]
-	s.mutex.Unlock()
-	if ok {
+	if id, ok := s.cachedLease(hour); ok {
 		return id, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/registry/elmstore/elmstore_test.go
+++ b/internal/registry/elmstore/elmstore_test.go
@@ -69,15 +69,22 @@
 	})
 }
 
-// Guards against a lease for each of the first writes of an hour that come at once.
-func TestConcurrentWritesShareLease(t *testing.T) {
+// newStore returns a stand-in service and a store that uses it.
+func newStore(t *testing.T) (*elmplatform.Platform, *elmstore.Store) {
+	t.Helper()
 	platform := elmplatform.New()
 	server := httptest.NewServer(platform.Handler())
-	defer server.Close()
+	t.Cleanup(server.Close)
 	store, err := elmstore.New(server.URL)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return platform, store
+}
+
+// Guards against a lease for each of the first writes of an hour that come at once.
+func TestConcurrentWritesShareLease(t *testing.T) {
+	platform, store := newStore(t)
 	var wait sync.WaitGroup
 	for n := range 16 {
 		wait.Go(func() {
@@ -95,13 +102,7 @@
 // Guards against writes that fail for the rest of an hour because the service has lost
 // the hour's lease.
 func TestLostLeaseIsReplaced(t *testing.T) {
-	platform := elmplatform.New()
-	server := httptest.NewServer(platform.Handler())
-	defer server.Close()
-	store, err := elmstore.New(server.URL)
-	if err != nil {
-		t.Fatal(err)
-	}
+	platform, store := newStore(t)
 	write := func(key string) error {
 		_, err := store.SwapWithLease(t.Context(), key, 0, []byte("x"), 1, time.Hour)
 		return err
