Deal shared limits to the entries in whole units

Cause: each entry had an equal part of a cold limit, 27.5 x 0.75 / 99 = 0.21 requests a second on the large deployment, and a request needs a whole one. From about 20 entries on a cold endpoint got nothing, and a group whose ranks had all restarted was full for all.

Change: elmshare ranks the entries for each limit by rendezvous hashing and deals whole units in that order.

Ways weighed: owners by rendezvous hashing (built); leases of shares in the store, which cost calls and end in its outages; credits from agents, which plain services do not have.

--- a/internal/forward/elmplace/announcements.go
+++ b/internal/forward/elmplace/announcements.go
@@ -77,5 +77,5 @@
 // hasRateCapacity reports whether this entry's share of the rate that an endpoint
 // announced allows one more request.
 func (p *Placer) hasRateCapacity(m elmsnapshot.Member, now time.Duration) bool {
-	return p.rates.Allows(m.ID, m.Started, p.entryNames, p.settings.Entry, p.entries, now)
+	return p.rates.Allows(m.ID, m.Started, p.shares.Position(m.ID), p.shares.Count(), now)
 }
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -28,6 +28,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/forward/elmwindow"
 	"github.com/elmcove/elmcove/internal/limit/elmrate"
+	"github.com/elmcove/elmcove/internal/limit/elmshare"
 )
 
 const (
@@ -55,11 +56,12 @@
 	// peerLoadTTL is how long the load report of another entry is used.
 	peerLoadTTL = 1500 * time.Millisecond
 	// usableLimitRatio is the fraction of the shared limits that is used, so that the
-	// limits hold even if the entries disagree on how many entries there are.
+	// limits hold while partitioned entries still use shares that others have taken
+	// over, and after restarts.
 	usableLimitRatio = 0.75
-	// entryCountTTL is how long entries that are no longer listed are counted. It is
-	// several times the time in which an entry lists itself again.
-	entryCountTTL = 15 * time.Second
+	// startRetryBurst is the number of retries that an entry may take, beyond those for
+	// its requests, while it does not know its share of the retry budget yet.
+	startRetryBurst = 1
 	// progressWindow is how recently an endpoint must have made progress for its
 	// service to count as alive. It is shorter than the time for which the ranks of
 	// a broken group stall.
@@ -147,17 +149,14 @@
 type Placer struct {
 	settings Settings
 	random   *rand.Rand
-	// entries is the number of entries, and countedAt when it was last set.
-	entries   int
-	countedAt time.Duration
-	// entryNames are the names of the entries, as of the last count that was used.
-	entryNames []string
-	endpoints  map[string]*endpoint
-	peers      map[string]peer
-	services   map[string]*service
-	slow       elmslow.List
-	backoff    *elmbackoff.List
-	rates      *elmrate.List
+	// shares divides the limits that all entries keep together.
+	shares    *elmshare.Ledger
+	endpoints map[string]*endpoint
+	peers     map[string]peer
+	services  map[string]*service
+	slow      elmslow.List
+	backoff   *elmbackoff.List
+	rates     *elmrate.List
 	// quarantine holds the signatures of requests that no endpoint may get, with the end of
 	// their quarantine.
 	quarantine map[elmsignature.Signature]time.Duration
@@ -200,30 +199,14 @@
 // New returns a Placer for a single entry.
 func New(settings Settings, random *rand.Rand) *Placer {
 	return &Placer{
-		settings: settings, random: random, entries: 1,
+		settings: settings, random: random, shares: elmshare.New(settings.Entry),
 		endpoints: map[string]*endpoint{}, peers: map[string]peer{}, services: map[string]*service{},
 		backoff: elmbackoff.New(), rates: elmrate.New(random),
 	}
 }
 
-// SetEntryCount sets the number of entries that share the limits, including this one.
-// A lower number takes effect only after entryCountTTL: after an outage of the store
-// all entries may be missing until they have listed themselves again.
-func (p *Placer) SetEntryCount(n int, now time.Duration) {
-	if n >= p.entries || now-p.countedAt > entryCountTTL {
-		p.entries, p.countedAt = max(n, 1), now
-	}
-}
-
-// SetEntries sets the names of the entries that share the limits, including this one,
-// in the same way as SetEntryCount.
-func (p *Placer) SetEntries(names []string, now time.Duration) {
-	counts := len(names) >= p.entries || now-p.countedAt > entryCountTTL
-	if counts && !slices.Equal(names, p.entryNames) {
-		p.entryNames = names
-	}
-	p.SetEntryCount(len(names), now)
-}
+// SetEntries sets the names of the entries that are listed, which share the limits.
+func (p *Placer) SetEntries(names []string, now time.Duration) { p.shares.Update(names, now) }
 
 // EndpointKey returns the hash that identifies an endpoint in messages between entries.
 func EndpointKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
@@ -361,8 +344,8 @@
 	if now >= m.ColdUntil || s.ColdRate <= 0 {
 		return true
 	}
-	limit := (s.ColdRate*p.settings.ColdFactor + p.settings.ColdSlack) * usableLimitRatio / float64(p.entries)
-	return float64(p.endpoint(m.ID).recent.Sum(now)+1) <= limit
+	limit := (s.ColdRate*p.settings.ColdFactor + p.settings.ColdSlack) * usableLimitRatio
+	return p.endpoint(m.ID).recent.Sum(now) < p.shares.Share(m.ID, limit, coldWindow, now)
 }
 
 func (p *Placer) endpoint(id string) *endpoint {
@@ -403,6 +386,7 @@
 func (p *Placer) Forget(listed func(id string) bool, now time.Duration) {
 	p.backoff.Forget(listed, now)
 	p.rates.Forget(listed, now)
+	p.shares.Forget(func(key string) bool { return listed(key) || p.services[key] != nil })
 	for id, e := range p.endpoints {
 		if e.inFlight == 0 && !listed(id) {
 			delete(p.endpoints, id)
@@ -429,8 +413,11 @@
 // counts it against this entry's share of the retry budget.
 func (p *Placer) TakeRetry(name string, now time.Duration) bool {
 	s := p.service(name)
-	burst := p.settings.RetryBurst * usableLimitRatio / float64(p.entries)
-	allowed := p.settings.RetryRatio*usableLimitRatio*float64(s.requests.Sum(now)) + burst
+	burst := startRetryBurst
+	if p.shares.IsSettled(now) {
+		burst = p.shares.Share(name, p.settings.RetryBurst*usableLimitRatio, p.settings.RetryWindow, now)
+	}
+	allowed := p.settings.RetryRatio*usableLimitRatio*float64(s.requests.Sum(now)) + float64(burst)
 	if float64(s.retries.Sum(now)+1) > allowed {
 		return false
 	}
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -96,11 +96,12 @@
 	for turn := 0; ctx.Err() == nil; turn++ {
 		elmclock.Wait(ctx, loadReportInterval)
 		local, remote := r.otherEntries()
+		listed := slices.Collect(maps.Keys(r.follower.Snapshot().SystemKeys(entriesPrefix)))
 		r.peers.SetAddresses(addressesOf(local), addressesOf(remote))
 		message := &elmpeer.Loads{Entry: r.settings.Instance}
 		slowList, now := r.slowRanks(), elmclock.Now()
 		r.mutex.Lock()
-		r.placer.SetEntries(append(namesOf(slices.Concat(local, remote)), r.settings.Instance), now)
+		r.placer.SetEntries(listed, now)
 		r.placer.SetSlow(slowList)
 		for id, open := range r.placer.Loads() {
 			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
@@ -136,14 +137,6 @@
 	return local, remote
 }
 
-func namesOf(list []entry) []string {
-	var names []string
-	for _, e := range list {
-		names = append(names, e.name)
-	}
-	return names
-}
-
 func addressesOf(list []entry) []string {
 	var addresses []string
 	for _, e := range list {
--- a/internal/limit/elmrate/elmrate.go
+++ b/internal/limit/elmrate/elmrate.go
@@ -2,8 +2,8 @@
 // announce. A rate holds for all entries together.
 //
 // A rate is divided among a few entries, its owners, so that each share is large enough
-// to be used and the unused shares of idle entries add up to little. All entries find
-// the same owners by rendezvous hashing.
+// to be used and the unused shares of idle entries add up to little. The owners are the
+// first entries in the order of elmshare.
 //
 // The package does no input or output.
 //
@@ -11,16 +11,13 @@
 //
 //	list := elmrate.New(random)
 //	list.Set("e-1", started, 2.5, now)
-//	if list.Allows("e-1", started, entries, self, len(entries), now) { list.Take("e-1") }
+//	if list.Allows("e-1", started, ledger.Position("e-1"), ledger.Count(), now) { list.Take("e-1") }
 package elmrate
 
 import (
 	"math/rand/v2"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/elmcove/elmcove/internal/limit/elmabsence"
 )
 
@@ -46,12 +43,7 @@
 	// saved is the number of requests that may be sent as of savedAt.
 	saved   float64
 	savedAt time.Duration
-	// owned is whether the entry is an owner, for the entries and number of owners
-	// that it was computed with.
-	owned      bool
-	ownedAmong []string
-	ownedOf    int
-	absence    elmabsence.Absence
+	absence elmabsence.Absence
 }
 
 // New returns an empty List.
@@ -83,16 +75,15 @@
 	return started == r.started
 }
 
-// Allows reports whether the entry self may send a request to an incarnation. Entries
-// are the names of all, and must not be changed afterwards. Members is the number of
-// entries that share limits, which may be higher than that of the listed ones.
-func (l *List) Allows(id string, started int64, entries []string, self string, members int, now time.Duration) bool {
+// Allows reports whether an entry may send a request to an incarnation. Position is the
+// entry's position among the entries for the endpoint, and entries their number.
+func (l *List) Allows(id string, started int64, position, entries int, now time.Duration) bool {
 	r, ok := l.records[id]
 	if !ok || started > r.started {
 		return true
 	}
-	owners := min(int(r.perSecond)+extraOwners, max(members, len(entries), 1))
-	if !r.isOwner(id, entries, self, owners) {
+	owners := min(int(r.perSecond)+extraOwners, max(entries, 1))
+	if position >= owners {
 		return false
 	}
 	r.refill(r.perSecond/float64(owners), now)
@@ -120,26 +111,3 @@
 	r.saved = min(r.saved+share*(now-r.savedAt).Seconds(), maxSaved)
 	r.savedAt = now
 }
-
-// isOwner reports whether an entry is among the owners of an endpoint's rate.
-func (r *record) isOwner(id string, entries []string, self string, owners int) bool {
-	same := len(entries) == len(r.ownedAmong) && (len(entries) == 0 || &entries[0] == &r.ownedAmong[0])
-	if !same || owners != r.ownedOf {
-		r.owned, r.ownedAmong, r.ownedOf = ranksAmong(id, entries, self, owners), entries, owners
-	}
-	return r.owned
-}
-
-// ranksAmong reports whether an entry has one of the highest hashes for an endpoint.
-func ranksAmong(id string, entries []string, self string, owners int) bool {
-	own := hash(id, self)
-	higher := 0
-	for _, e := range entries {
-		if h := hash(id, e); h > own || h == own && strings.Compare(e, self) > 0 {
-			higher++
-		}
-	}
-	return higher < owners
-}
-
-func hash(id, entry string) uint64 { return xxhash.Sum64String(id + "/" + entry) }
--- a/internal/stand/elmlockstep/callers.go
+++ b/internal/stand/elmlockstep/callers.go
@@ -118,14 +118,20 @@
 func rankID(r int) string     { return members[r].ID }
 func datacentre(i int) string { return fmt.Sprintf("dc-%d", i%datacentres) }
 
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
 func newEntries(seed uint64) []entry {
 	var list []entry
+	var names []string
+	for i := range entries {
+		names = append(names, entryName(i))
+	}
 	for i := range entries {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
 		list = append(list, entry{placer: elmplace.New(elmplace.Settings{
-			Datacentre: datacentre(i), RetryRatio: 0.2, RetryBurst: 90, RetryWindow: 10 * time.Second,
+			Entry: entryName(i), Datacentre: datacentre(i), RetryRatio: 0.2, RetryBurst: 90, RetryWindow: 10 * time.Second,
 		}, random)})
-		list[i].placer.SetEntryCount(entries, 0)
+		list[i].placer.SetEntries(names, 0)
 	}
 	return list
 }
