Repair large groups with maps that agents know, one agent after the other

Each repair sent the map in use to all ranks over a link of 6 Mbit/s, 2 s for calls of 400 ms, so that none ended; eight agents acted at a time; a planner stopped by SIGTERM left its group held too.

Change: agents keep the last maps of their rank and prepare one again by its version; whole maps and lists are moved 16 at a time; agents take turns, in another order in each pass; a stopping planner finishes its rollout.

--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -22,6 +22,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +56,9 @@
 	// the first with the new map. The next pass is the first that may not have
 	// begun.
 	maxLead, minLead = 3, 1
+	// maxMapCalls is the number of calls with maps at a time. More would delay each
+	// other on the link of a small instance until all of them time out.
+	maxMapCalls = 16
 )
 
 // Controller polls and controls the ranks of a group. It is not safe for concurrent use.
@@ -64,7 +68,10 @@
 	ranks     *platform.RankClient
 	orders    *platform.RankClient
 	agents    *platform.RankClient
+	preparer  *preparer
 	logger    *elmlog.Logger
+	// mapCalls has one element for each call with a map that is in progress.
+	mapCalls chan struct{}
 
 	maps map[int64]elmrank.Map
 	// version is the highest version that was used, and lastHeld is the last pass
@@ -84,7 +91,7 @@
 	return &Controller{
 		plannerID: int64(xxhash.Sum64String(name) % elmrollout.VersionStride), agentPort: port,
 		ranks: platform.NewRankClient(callTimeout), orders: platform.NewRankClient(orderTimeout), agents: platform.NewAgentClient(agentTimeout),
-		logger: logger, maps: map[int64]elmrank.Map{},
+		preparer: newPreparer(agentTimeout), logger: logger, mapCalls: make(chan struct{}, maxMapCalls), maps: map[int64]elmrank.Map{},
 	}
 }
 
@@ -169,15 +176,26 @@
 	for s := range m {
 		m[s] = make([][]int, len(v.Reports))
 	}
+	var failures atomic.Int32
+	var wait sync.WaitGroup
 	for r, address := range v.Addresses {
-		version, experts, err := c.agents.HeldExperts(ctx, c.agentAddress(address))
-		if err != nil || version != v.Version || len(experts) != e.Sets {
-			c.logger.Event(elmlog.MapUnknown, "rank", r, "version", version, "wanted", v.Version, "error", err)
-			return nil, false
-		}
-		for s := range experts {
-			m[s][r] = experts[s]
-		}
+		wait.Go(func() {
+			c.mapCalls <- struct{}{}
+			defer func() { <-c.mapCalls }()
+			version, experts, err := c.agents.HeldExperts(ctx, c.agentAddress(address))
+			if err != nil || version != v.Version || len(experts) != e.Sets {
+				c.logger.Event(elmlog.MapUnknown, "rank", r, "version", version, "wanted", v.Version, "error", err)
+				failures.Add(1)
+				return
+			}
+			for s := range experts {
+				m[s][r] = experts[s]
+			}
+		})
+	}
+	wait.Wait()
+	if failures.Load() > 0 {
+		return nil, false
 	}
 	c.maps[v.Version] = m
 	return m, true
@@ -229,7 +247,7 @@
 	}
 	return elmrollout.Plan{
 		Version: elmrollout.NextVersion(max(v.HighestVersion, c.version), c.plannerID), Epoch: v.Epoch, Current: current, Next: next,
-		Holder: c.rollouts % len(v.Reports), PlannerID: c.plannerID, LeadPasses: c.passRate.lead(), LastHeld: lastHeld,
+		CurrentVersion: v.Version, Holder: c.rollouts % len(v.Reports), PlannerID: c.plannerID, LeadPasses: c.passRate.lead(), LastHeld: lastHeld,
 	}
 }
 
@@ -281,13 +299,10 @@
 func (c *Controller) sendOrder(ctx context.Context, v View, command elmrollout.SendOrder) elmrollout.Message {
 	address := v.Addresses[command.Rank]
 	result := elmrollout.OrderResult{State: command.State, Rank: command.Rank, Operation: command.Order.Operation}
-	switch {
-	case command.Order.Operation != elmrank.Prepare:
+	if command.Order.Operation == elmrank.Prepare {
+		result.Outcome = c.sendPrepare(ctx, address, v.ViaAgent[command.Rank], command.Order)
+	} else {
 		result.Outcome = c.orders.SendOrder(ctx, address, command.Order)
-	case v.ViaAgent[command.Rank]:
-		result.Outcome = c.agents.SendOrder(ctx, c.agentAddress(address), command.Order)
-	default:
-		result.Outcome = c.ranks.SendOrder(ctx, address, command.Order)
 	}
 	if result.Outcome != elmrank.Accepted {
 		c.logger.Event(elmlog.OrderNotAccepted, "rank", command.Rank, "phase", command.State, "operation", command.Order.Operation.String(),
@@ -296,6 +311,22 @@
 	return result
 }
 
+// sendPrepare sends a rank an order to prepare a map. If the rank has had the map before,
+// its agent supplies it.
+func (c *Controller) sendPrepare(ctx context.Context, address string, viaAgent bool, order elmrank.Order) elmrank.Outcome {
+	if viaAgent && order.Reuse {
+		if outcome, known := c.preparer.send(ctx, c.agentAddress(address), order); known {
+			return outcome
+		}
+	}
+	c.mapCalls <- struct{}{}
+	defer func() { <-c.mapCalls }()
+	if viaAgent {
+		return c.agents.SendOrder(ctx, c.agentAddress(address), order)
+	}
+	return c.ranks.SendOrder(ctx, address, order)
+}
+
 // fetchReport fetches the report of a rank through its agent, because a rank reports
 // its current state only to a local caller. If the agent does not answer, it fetches
 // the report from the rank.
--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -38,6 +38,9 @@
 	shortPollInterval = 125 * time.Millisecond
 	// slowPace is the pace from which entries avoid a rank.
 	slowPace = 1.5
+	// finishTimeout is how long a rollout may go on when the planner is stopped, so that
+	// it does not leave the group held.
+	finishTimeout = 2 * time.Second
 	// idlePace is the pace published for ranks outside any open group while other
 	// groups are open. It is higher than that of any slow rank.
 	idlePace = 1000
@@ -193,10 +196,22 @@
 		return true
 	}
 	p.logger.Event(elmlog.MapPlanned, "service", s.Name, "group", view.Name, "epoch", view.Epoch, "map", view.Version, "peak", before, "planned", after)
-	g.controller.RollOut(ctx, view, current, next)
+	finishing, cancel := finishingContext(ctx)
+	defer cancel()
+	g.controller.RollOut(finishing, view, current, next)
 	return true
 }
 
+// finishingContext returns a context that ends finishTimeout after ctx.
+func finishingContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	finishing, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(finishTimeout, cancel) })
+	return finishing, func() {
+		stop()
+		cancel()
+	}
+}
+
 func addresses(members []elmsnapshot.Member) []string {
 	var list []string
 	for _, m := range members {
--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -1,6 +1,7 @@
 package elmplanner_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -71,6 +72,12 @@
 
 // startPlanner runs the planner of an entry.
 func (c *cluster) startPlanner(t *testing.T, name string) {
+	t.Helper()
+	c.startPlannerUntil(t.Context(), t, name)
+}
+
+// startPlannerUntil runs the planner of an entry until a context ends.
+func (c *cluster) startPlannerUntil(ctx context.Context, t *testing.T, name string) {
 	t.Helper()
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.Close)
@@ -81,7 +88,7 @@
 	settings := platform.Settings{Instance: name, Ports: []int{port}, MinLeaseTTL: time.Second}
 	var wait sync.WaitGroup
 	wait.Go(func() { follower.Run(t.Context()) })
-	wait.Go(func() { elmplanner.New(settings, store, follower.Snapshot, logger).Run(t.Context()) })
+	wait.Go(func() { elmplanner.New(settings, store, follower.Snapshot, logger).Run(ctx) })
 	t.Cleanup(wait.Wait)
 }
 
@@ -196,6 +203,25 @@
 	})
 }
 
+// Guards against a group that a stopping planner leaves held: a rollout that has begun
+// goes on to its end, and no agent has to release the group.
+func TestStoppingPlannerReleasesGroup(t *testing.T) {
+	c := newCluster(t)
+	c.group.IgnoreEvery(3) // The rollout takes longer.
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	c.startPlannerUntil(ctx, t, "entry-1")
+	c.eventually(t, "planned", func() bool {
+		c.group.AddSelections(2, 200)
+		return strings.Contains(c.logs.String(), "expert map planned")
+	})
+	stop()
+	c.eventually(t, "rolled out", func() bool { return c.group.ReplicaCount(2) > 1 })
+	if log := c.logs.String(); strings.Contains(log, "group is held and runs no passes") || strings.Contains(log, "expert map rollout abandoned") {
+		t.Errorf("the rollout was not finished; log:\n%s", log)
+	}
+}
+
 // TestOrdersWithoutAnswer checks that a rollout succeeds although ranks leave a third
 // of the orders unanswered, and that the group is held for at most 400 ms.
 func TestOrdersWithoutAnswer(t *testing.T) {
--- a/internal/expert/elmrank/elmrank.go
+++ b/internal/expert/elmrank/elmrank.go
@@ -29,6 +29,19 @@
 	return m
 }
 
+// Size returns the number of ranks, sets and experts of a map.
+func (m Map) Size() (ranks, sets, experts int) {
+	for _, set := range m {
+		ranks = max(ranks, len(set))
+		for _, held := range set {
+			for _, e := range held {
+				experts = max(experts, e+1)
+			}
+		}
+	}
+	return ranks, len(m), experts
+}
+
 // Clone returns a deep copy.
 func (m Map) Clone() Map {
 	c := make(Map, len(m))
@@ -67,6 +80,10 @@
 	Operation Operation
 	Version   int64
 	Map       Map
+	// Reuse means that the rank has had Map before in the same epoch, under the version
+	// Source, so that its agent may supply it.
+	Reuse  bool
+	Source int64
 	// Pass is the pass to which an Arm, Hold or Release applies.
 	Pass int64
 	// Epoch is the group's epoch. A rank rejects the order in any other epoch.
--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/expert/elmgroup"
+	"github.com/elmcove/elmcove/internal/expert/elmmaps"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
@@ -44,11 +45,13 @@
 	// stallTimeout is the time without a pass after which a group with requests
 	// counts as stalled. It is several times the longest pass.
 	stallTimeout = 500 * time.Millisecond
-	// stallStagger is added to the timeout once for each lower rank, so that only
-	// one agent acts. It is about as long as a repair takes.
+	// stallStagger is the time by which agents act after one another, so that only one
+	// acts. It is about as long as a repair takes.
 	stallStagger = 150 * time.Millisecond
-	// staggeredRanks bounds the stagger in large groups.
-	staggeredRanks = 16
+	// staggeredAgents is the number of agents that act so far apart. The others act
+	// lateStagger apart, in case the instances of the first ones are down.
+	staggeredAgents = 16
+	lateStagger     = 30 * time.Millisecond
 	// repairTimeout is the time that an agent gives another one for a repair.
 	repairTimeout = 800 * time.Millisecond
 )
@@ -63,6 +66,8 @@
 	orders     *platform.RankClient
 	controller *elmgroup.Controller
 	stall      stall
+	// maps holds the maps that the rank has had last.
+	maps elmmaps.Cache
 }
 
 // New returns an agent that is not running yet.
@@ -114,7 +119,7 @@
 			continue
 		}
 		now := elmclock.Now()
-		timeout := stallTimeout + time.Duration(report.Rank%staggeredRanks)*stallStagger
+		timeout := actionDelay(report)
 		if a.stall.update(report, now) && now-a.stall.since >= timeout && now-a.stall.attemptedAt >= timeout {
 			a.stall.attemptedAt = now
 			a.repairGroup(ctx, report, now-a.stall.since)
@@ -122,6 +127,13 @@
 	}
 }
 
+// actionDelay returns how long a group must be stalled until the agent of a rank acts.
+// Agents take turns in each pass, since the instances of the first ones may be down.
+func actionDelay(r elmrank.Report) time.Duration {
+	turn := time.Duration((int64(r.Rank) + r.Pass) % int64(max(r.Size, 1)))
+	return stallTimeout + min(turn, staggeredAgents)*stallStagger + max(turn-staggeredAgents, 0)*lateStagger
+}
+
 // repairGroup polls all ranks of a stalled group and releases the group if it is held.
 func (a *Agent) repairGroup(ctx context.Context, own elmrank.Report, since time.Duration) {
 	addresses, err := a.rankAddresses(ctx)
--- a/internal/expert/elmrankagent/handler.go
+++ b/internal/expert/elmrankagent/handler.go
@@ -8,13 +8,22 @@
 	"net/http"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/elmcove/elmcove/internal/expert/elmgroup"
+	"github.com/elmcove/elmcove/internal/expert/elmrank"
 	"github.com/elmcove/elmcove/internal/wire/elmbounded"
+	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 	"github.com/elmcove/elmcove/platform"
 )
 
 // maxOrderBytes bounds an order. The largest order has the map of the largest group.
 const maxOrderBytes = 4 << 20
 
+// maxPrepareBytes bounds a message that names a map, and maxMapSide the number of ranks,
+// sets and experts of an initial map.
+const maxPrepareBytes, maxMapSide = 1 << 10, 1 << 12
+
 // minCompressedBytes is the size above which answers are compressed, because agents
 // have slow links and a planner polls all of them.
 const minCompressedBytes = 1 << 10
@@ -26,10 +35,42 @@
 	mux.Handle("GET "+platform.ReportPath, http.HandlerFunc(a.forward))
 	mux.Handle("GET "+platform.ExpertsPath, http.HandlerFunc(a.forward))
 	mux.Handle("POST "+platform.OrderPath, http.HandlerFunc(a.forward))
+	mux.Handle("POST "+elmgroup.PreparePath, http.HandlerFunc(a.prepareKnown))
 	mux.Handle("/metrics", a.meter.Handler())
 	return mux
 }
 
+// prepareKnown has the rank prepare a map that it has had before.
+func (a *Agent) prepareKnown(w http.ResponseWriter, r *http.Request) {
+	document, err := elmbounded.ReadAll(r.Body, maxPrepareBytes)
+	var p elmpeer.Prepare
+	if err == nil {
+		err = proto.Unmarshal(document, &p)
+	}
+	if err != nil {
+		http.Error(w, "order can't be read", http.StatusBadRequest)
+		return
+	}
+	layout, ok := a.maps.Find(p.GetEpoch(), p.GetSource())
+	if p.GetSource() == 0 && max(p.GetRanks(), p.GetSets(), p.GetExperts()) <= maxMapSide {
+		layout, ok = elmrank.InitialMap(int(p.GetSets()), int(p.GetExperts()), int(p.GetRanks())), p.GetRanks() > 0
+	}
+	if !ok {
+		http.Error(w, "map is not known", http.StatusNotFound)
+		return
+	}
+	order := elmrank.Order{Operation: elmrank.Prepare, Version: p.GetVersion(), Epoch: p.GetEpoch(), Map: layout}
+	switch a.orders.SendOrder(r.Context(), a.settings.EndpointAddress, order) {
+	case elmrank.Accepted:
+		a.maps.Add(order.Epoch, order.Version, order.Map)
+		w.WriteHeader(http.StatusAccepted)
+	case elmrank.Rejected:
+		w.WriteHeader(http.StatusConflict)
+	case elmrank.Unknown:
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}
+}
+
 // forward forwards a request to the rank and returns the rank's answer.
 func (a *Agent) forward(w http.ResponseWriter, r *http.Request) {
 	var body io.Reader = http.MaxBytesReader(w, r.Body, maxOrderBytes+1)
@@ -42,8 +83,10 @@
 		body = decompressed
 	}
 	rank := a.ranks
+	var order []byte
 	if r.Method == http.MethodPost {
-		order, err := elmbounded.ReadAll(body, maxOrderBytes) // The planner's link may take longer than orderTimeout.
+		var err error
+		order, err = elmbounded.ReadAll(body, maxOrderBytes) // The planner's link may take longer than orderTimeout.
 		if errors.Is(err, elmbounded.ErrTooLong) {
 			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 			return
@@ -59,6 +102,9 @@
 		http.Error(w, "rank does not answer", http.StatusGatewayTimeout)
 		return
 	}
+	if prepared, ok := platform.DecodePrepared(order); ok && status < http.StatusMultipleChoices {
+		a.maps.Add(prepared.Epoch, prepared.Version, prepared.Map)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if len(document) > minCompressedBytes && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		w.Header().Set("Content-Encoding", "gzip")
--- a/internal/expert/elmrollout/elmrollout.go
+++ b/internal/expert/elmrollout/elmrollout.go
@@ -78,6 +78,8 @@
 	// Current is the map in use, and Next is the map to roll out.
 	Current elmrank.Map
 	Next    elmrank.Map
+	// CurrentVersion is the version of the map in use.
+	CurrentVersion int64
 	// Holder is the rank that receives the hold order.
 	Holder int
 	// PlannerID identifies the planner. It is less than VersionStride.
@@ -415,6 +417,7 @@
 			break
 		}
 		o.Operation, o.Version, o.Map = elmrank.Prepare, s.nextVersion(), s.plan.Current
+		o.Reuse, o.Source = true, s.plan.CurrentVersion
 	case releasing:
 		o.Operation, o.Pass = elmrank.Release, s.holdOf(r)
 	}
