Refuse requests to a group that makes no progress, but for two

Cause: entries sent on to a held group for as long as it reported to be open; callers left after 2 s without an event. Now an entry that had progress before and gets none for 1.2 s refuses further requests at once, with two open as probes.

--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -62,16 +62,6 @@
 	// startRetryBurst is the number of retries that an entry may take, beyond those for
 	// its requests, while it does not know its share of the retry budget yet.
 	startRetryBurst = 1
-	// progressWindow is how recently an endpoint must have made progress for its
-	// service to count as alive. It is shorter than the time for which the ranks of
-	// a broken group stall.
-	progressWindow = time.Second
-	// maxEndpointBrokenTime bounds the time without requests for an endpoint that is
-	// repeatedly found in a broken group.
-	maxEndpointBrokenTime = 16 * time.Second
-	// brokenTTL is the time after which a broken group is tried again if no report
-	// says that it is open.
-	brokenTTL = 2 * time.Second
 	// latencyWeight is the weight of a new sample in an endpoint's average latency.
 	latencyWeight = 0.2
 	// coldWindow is the window over which requests to a cold endpoint are counted.
@@ -94,13 +84,15 @@
 	Paused
 	// Leaving means that all endpoints announced that they are leaving.
 	Leaving
+	// Stalled means that the service's group makes no progress.
+	Stalled
 	// Quarantined means that endpoints crash under the request or a segment of its prompt.
 	Quarantined
 )
 
 // String returns the name of a verdict for logs.
 func (v Verdict) String() string {
-	return [...]string{"placed", "absent", "full", "broken", "paused", "leaving", "quarantined"}[v]
+	return [...]string{"placed", "absent", "full", "broken", "paused", "leaving", "stalled", "quarantined"}[v]
 }
 
 // Outcome is the result of a request at an endpoint.
@@ -164,6 +156,8 @@
 
 type endpoint struct {
 	key uint32
+	// service is the service for which the endpoint was chosen last.
+	service string
 	// inFlight is the number of this entry's requests at the endpoint.
 	inFlight int
 	// failures is the decaying number of failures as of failuresAt.
@@ -194,6 +188,9 @@
 	// progressAt is when an endpoint last made progress.
 	progressAt  time.Duration
 	hasProgress bool
+	// open is the number of this entry's requests, and openSince when it was last 0.
+	open      int
+	openSince time.Duration
 }
 
 // New returns a Placer for a single entry.
@@ -239,6 +236,8 @@
 		return elmsnapshot.Member{}, Quarantined
 	case p.IsBroken(q.Service.Name, now):
 		return elmsnapshot.Member{}, Broken
+	case q.Service.Engine != nil && p.IsStalled(q.Service.Name, now):
+		return elmsnapshot.Member{}, Stalled
 	}
 	members, verdict := p.accepting(q, members, now)
 	avoidSlow := slices.ContainsFunc(members, func(m elmsnapshot.Member) bool { return !p.IsSlow(m) })
@@ -265,6 +264,9 @@
 			}
 		}
 	}
+	if verdict == Placed {
+		p.endpoint(best.ID).service = q.Service.Name
+	}
 	return best, verdict
 }
 
@@ -363,6 +365,7 @@
 	e.inFlight++
 	e.recent.Add(now)
 	p.rates.Take(id)
+	p.service(e.service).begin(now)
 }
 
 // End records the end of a request at an endpoint. Elapsed is the time to the first
@@ -370,6 +373,7 @@
 func (p *Placer) End(id string, outcome Outcome, elapsed, now time.Duration) {
 	e := p.endpoint(id)
 	e.inFlight--
+	p.service(e.service).open--
 	switch outcome {
 	case Served:
 		e.latency += latencyWeight * (elapsed.Seconds() - e.latency)
@@ -424,41 +428,3 @@
 	s.retries.Add(now)
 	return true
 }
-
-// SetBroken sets whether the group of a service is broken, and reports whether that
-// changed.
-func (p *Placer) SetBroken(name string, broken bool, now time.Duration) bool {
-	s := p.service(name)
-	changed := s.isBroken != broken
-	s.isBroken, s.brokenSetAt = broken, now
-	return changed
-}
-
-// RecordProgress records that an endpoint has made progress, such as an event of a
-// stream.
-func (p *Placer) RecordProgress(name, id string, now time.Duration) {
-	s := p.service(name)
-	s.progressAt, s.hasProgress = now, true
-	p.endpoint(id).brokenFor = 0
-}
-
-// ReportBroken attributes a broken group to an endpoint. It returns true if the whole
-// service counts as broken. If other endpoints make progress, the service has other
-// groups, and only this endpoint is excluded, each time for twice as long up to
-// maxEndpointBrokenTime.
-func (p *Placer) ReportBroken(name, id string, now time.Duration) bool {
-	s := p.service(name)
-	if !s.hasProgress || now-s.progressAt >= progressWindow {
-		return true
-	}
-	e := p.endpoint(id)
-	e.brokenFor = min(max(2*e.brokenFor, brokenTTL), maxEndpointBrokenTime)
-	e.brokenUntil = now + e.brokenFor
-	return false
-}
-
-// IsBroken reports whether the group of a service is known to be broken.
-func (p *Placer) IsBroken(name string, now time.Duration) bool {
-	s := p.service(name)
-	return s.isBroken && now-s.brokenSetAt < brokenTTL
-}
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -347,7 +347,7 @@
 func (d *delivery) refuse() {
 	held := elmclock.Now() - d.began
 	retryAfter := elmretryafter.OverloadDelay
-	if d.verdict == elmplace.Broken || d.groupBroken() {
+	if d.verdict == elmplace.Broken || d.verdict == elmplace.Stalled || d.groupBroken() {
 		retryAfter = elmretryafter.BrokenGroupDelay
 	}
 	after := elmretryafter.After(d.requestInfo.Deadline-held, retryAfter, rand.Float64)
--- a/internal/stand/elmlockstep/pass.go
+++ b/internal/stand/elmlockstep/pass.go
@@ -156,6 +156,7 @@
 				continue
 			}
 			q.recordEvent(sm.now)
+			sm.entries[q.entry].placer.RecordProgress(service.Name, rankID(q.rank), sm.now)
 			if q.eventsLeft == 0 {
 				r.remove(q)
 				sm.freeSlot(q)
