Report loads on a change within a data centre, and as sums between them

Cause: each entry told each other one its loads in an interval of 100 ms or 400 ms.

Change: entries report changes at once to those of their data centre, at most each 25 ms; one relay of each data centre sends sums to the relays of the others each 200 ms (elmrelay).

--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -106,16 +106,13 @@
 	}
 }
 
-// SendLoads sends loads to the local entries, and with includeRemote also to the remote
-// ones. A lost datagram is not sent again: the next one replaces it.
-func (p *Peers) SendLoads(loads *elmpeer.Loads, includeRemote bool) error {
+// SendLoads sends loads to entries at addresses. A lost datagram is not sent again: the
+// next one replaces it.
+func (p *Peers) SendLoads(loads *elmpeer.Loads, addresses []string) error {
 	p.mutex.Lock()
-	peers, socket := p.local, p.socket
-	if includeRemote {
-		peers = slices.Concat(p.local, p.remote)
-	}
+	socket := p.socket
 	p.mutex.Unlock()
-	if socket == nil || len(peers) == 0 {
+	if socket == nil || len(addresses) == 0 {
 		return nil
 	}
 	message, err := proto.Marshal(loads)
@@ -123,7 +120,7 @@
 		return fmt.Errorf("%w: %w", ErrPeers, err)
 	}
 	var failures []error
-	for _, address := range peers {
+	for _, address := range addresses {
 		target, err := net.ResolveUDPAddr("udp4", address)
 		if err == nil {
 			_, err = socket.WriteTo(message, target)
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -144,11 +144,14 @@
 	// shares divides the limits that all entries keep together.
 	shares    *elmshare.Ledger
 	endpoints map[string]*endpoint
-	peers     map[string]peer
-	services  map[string]*service
-	slow      elmslow.List
-	backoff   *elmbackoff.List
-	rates     *elmrate.List
+	// peers holds what entries report of themselves, by name, and datacentres the sums
+	// over the entries of other data centres.
+	peers       map[string]peer
+	datacentres map[string]peer
+	services    map[string]*service
+	slow        elmslow.List
+	backoff     *elmbackoff.List
+	rates       *elmrate.List
 	// quarantine holds the signatures of requests that no endpoint may get, with the end of
 	// their quarantine.
 	quarantine map[elmsignature.Signature]time.Duration
@@ -197,7 +200,7 @@
 func New(settings Settings, random *rand.Rand) *Placer {
 	return &Placer{
 		settings: settings, random: random, shares: elmshare.New(settings.Entry),
-		endpoints: map[string]*endpoint{}, peers: map[string]peer{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, peers: map[string]peer{}, datacentres: map[string]peer{}, services: map[string]*service{},
 		backoff: elmbackoff.New(), rates: elmrate.New(random),
 	}
 }
@@ -214,6 +217,27 @@
 	p.peers[name] = peer{reportedAt: now, loads: loads}
 }
 
+// SetDatacentreLoads sets the number of requests that the entries of another data centre
+// have at each endpoint together, by EndpointKey.
+func (p *Placer) SetDatacentreLoads(datacentre string, loads map[uint32]int, now time.Duration) {
+	p.datacentres[datacentre] = peer{reportedAt: now, loads: loads}
+}
+
+// SumLoads returns the number of requests that this entry and those with their own
+// reports have at each endpoint together, by EndpointKey.
+func (p *Placer) SumLoads(now time.Duration) map[uint32]int {
+	sum := p.Loads()
+	for _, other := range p.peers {
+		if now-other.reportedAt >= peerLoadTTL {
+			continue
+		}
+		for key, n := range other.loads {
+			sum[key] += n
+		}
+	}
+	return sum
+}
+
 // SetSlow sets the list of slow ranks. All ranks of a group wait for them.
 func (p *Placer) SetSlow(list elmslow.List) { p.slow = list }
 
@@ -321,9 +345,11 @@
 func (p *Placer) load(id string, now time.Duration) float64 {
 	e := p.endpoint(id)
 	load := e.inFlight
-	for _, other := range p.peers {
-		if now-other.reportedAt < peerLoadTTL {
-			load += other.loads[e.key]
+	for _, reports := range [...]map[string]peer{p.peers, p.datacentres} {
+		for _, other := range reports {
+			if now-other.reportedAt < peerLoadTTL {
+				load += other.loads[e.key]
+			}
 		}
 	}
 	return float64(load)
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -216,6 +216,7 @@
 		return elmlifecycle.Unplaced{}
 	}
 	d.router.placer.Begin(d.member.ID, now)
+	d.router.wakeReporter()
 	d.slotHeld, d.sentAt = true, now
 	return elmlifecycle.Placed{Endpoint: d.member.ID}
 }
@@ -243,6 +244,7 @@
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
 	d.router.placer.End(d.member.ID, outcome, elapsed, now)
+	d.router.wakeReporter()
 }
 
 // takeRetry takes one retry from the service's retry budget if the request has attempts
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -31,6 +31,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmnotice"
 	"github.com/elmcove/elmcove/internal/forward/elmpeers"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
+	"github.com/elmcove/elmcove/internal/forward/elmrelay"
 	"github.com/elmcove/elmcove/internal/forward/elmsignature"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
@@ -63,9 +64,6 @@
 	// readyAgeRatio is the share of the revocation limit beyond which this entry
 	// reports not ready: other entries may have a newer snapshot.
 	readyAgeRatio = 0.6
-	// loadReportInterval is the interval between two load reports to the other
-	// entries.
-	loadReportInterval = 100 * time.Millisecond
 	// cleanUpInterval is the interval between two clean-ups.
 	cleanUpInterval = time.Second
 )
@@ -83,13 +81,16 @@
 	board    *elmnotice.Board
 	// pollWake is sent to when a group was found broken.
 	pollWake chan struct{}
-	draining atomic.Bool
-	ready    atomic.Bool
+	// loadsChanged is sent to when this entry's loads have changed.
+	loadsChanged chan struct{}
+	draining     atomic.Bool
+	ready        atomic.Bool
 	// informed is set when the notices of a first snapshot have been applied.
 	informed atomic.Bool
 
 	mutex  sync.Mutex
 	placer *elmplace.Placer
+	relay  *elmrelay.Relay
 	// broken holds the services whose groups are polled because they are broken.
 	broken map[string]struct{}
 	// lost holds the endpoints that are being checked for a crash, by ID.
@@ -116,6 +117,8 @@
 		ranks:           platform.NewRankClient(reportTimeout),
 		broken:          map[string]struct{}{},
 		pollWake:        make(chan struct{}, 1),
+		loadsChanged:    make(chan struct{}, 1),
+		relay:           elmrelay.New(settings.Instance),
 		lost:            map[string]*lostResponses{},
 		detector:        elmcrash.New(time.Now().UnixMilli()),
 		applied:         map[string]string{},
@@ -187,6 +190,7 @@
 	go r.receiveLoads(base)
 	go r.register(base)
 	go r.reportLoads(base)
+	go r.reportSums(base)
 	go r.cleanUp(base)
 	go r.board.Run(base)
 	go r.watchNotices(base)
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -8,10 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/elmcove/elmcove/internal/forward/elmslow"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
-	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 	"github.com/elmcove/elmcove/platform"
 )
 
@@ -22,9 +20,6 @@
 	entryLeaseTTL = 10 * time.Second
 	// leaseRenewInterval is the interval between two lease renewals.
 	leaseRenewInterval = 3 * time.Second
-	// localReportsPerRemote is the number of load reports per report that also
-	// goes to other data centres, since traffic between data centres is billed.
-	localReportsPerRemote = 4
 	// minSharedReadEntries is the number of entries in a data centre from which
 	// on one entry reads the store for all, since each store call is billed.
 	minSharedReadEntries = 5
@@ -66,59 +61,8 @@
 	return lease, nil
 }
 
-// receiveLoads receives the load reports of other entries.
-func (r *Router) receiveLoads(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := r.peers.Run(ctx, r.handleLoads)
-		if err != nil {
-			r.logger.Event(elmlog.LinkDown, "error", err)
-			elmclock.Wait(ctx, retryDelay)
-		}
-	}
-}
-
-// handleLoads records the load report of another entry.
-func (r *Router) handleLoads(l *elmpeer.Loads) {
-	loads := map[uint32]int{}
-	for _, e := range l.GetLoads() {
-		loads[e.GetEndpoint()] = int(e.GetOpen())
-	}
-	now := elmclock.Now()
-	r.mutex.Lock()
-	r.placer.SetPeerLoads(l.GetEntry(), loads, now)
-	r.mutex.Unlock()
-}
-
-// reportLoads periodically sends the other entries the number of this entry's
-// requests at each endpoint. An empty report is sent once, to all.
-func (r *Router) reportLoads(ctx context.Context) {
-	lastEmpty := false
-	for turn := 0; ctx.Err() == nil; turn++ {
-		elmclock.Wait(ctx, loadReportInterval)
-		local, remote := r.otherEntries()
-		listed := slices.Collect(maps.Keys(r.follower.Snapshot().SystemKeys(entriesPrefix)))
-		r.peers.SetAddresses(addressesOf(local), addressesOf(remote))
-		message := &elmpeer.Loads{Entry: r.settings.Instance}
-		slowList, now := r.slowRanks(), elmclock.Now()
-		r.mutex.Lock()
-		r.placer.SetEntries(listed, now)
-		r.placer.SetSlow(slowList)
-		for id, open := range r.placer.Loads() {
-			message.Loads = append(message.Loads, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
-		}
-		r.mutex.Unlock()
-		if len(message.Loads) == 0 && lastEmpty {
-			continue
-		}
-		lastEmpty = len(message.Loads) == 0
-		if err := r.peers.SendLoads(message, lastEmpty || turn%localReportsPerRemote == 0); err != nil {
-			r.meter.Count("elmcove_tell_failures_total", "entry", r.settings.Instance)
-		}
-	}
-}
-
 // entry is another entry process listed in the store.
-type entry struct{ name, address string }
+type entry struct{ name, address, datacentre string }
 
 // otherEntries returns the other entries sorted by name: local ones are in this
 // data centre, remote ones in others.
@@ -129,9 +73,9 @@
 		switch {
 		case name == r.settings.Instance:
 		case datacentre == r.settings.Datacentre:
-			local = append(local, entry{name, address})
+			local = append(local, entry{name, address, datacentre})
 		default:
-			remote = append(remote, entry{name, address})
+			remote = append(remote, entry{name, address, datacentre})
 		}
 	}
 	return local, remote
@@ -155,12 +99,3 @@
 	}
 	return local[0].address
 }
-
-// slowRanks returns the slow ranks of all groups.
-func (r *Router) slowRanks() elmslow.List {
-	all := elmslow.List{}
-	for _, text := range r.follower.Snapshot().SystemKeys(elmslow.KeyPrefix) {
-		maps.Copy(all, elmslow.Parse(text))
-	}
-	return all
-}
--- /dev/null
+++ b/internal/forward/elmrouter/loads.go
@@ -0,0 +1,157 @@
+package elmrouter
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/elmcove/elmcove/internal/forward/elmslow"
+	"github.com/elmcove/elmcove/internal/observe/elmclock"
+	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/wire/elmpeer"
+)
+
+const (
+	// minReportInterval is the shortest interval between two load reports to the entries
+	// of this data centre. A change is reported at once if the last report is older.
+	minReportInterval = 25 * time.Millisecond
+	// maxReportInterval is the longest interval between two reports, by which entries
+	// also know that this one is alive.
+	maxReportInterval = 400 * time.Millisecond
+	// sumInterval is the interval between two reports to other data centres. Traffic
+	// between data centres is billed.
+	sumInterval = 200 * time.Millisecond
+)
+
+// receiveLoads receives the load reports of other entries.
+func (r *Router) receiveLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.peers.Run(ctx, r.handleLoads)
+		if err != nil {
+			r.logger.Event(elmlog.LinkDown, "error", err)
+			elmclock.Wait(ctx, retryDelay)
+		}
+	}
+}
+
+// handleLoads records the load report of another entry, and passes the sums of another
+// data centre on to the entries of this one.
+func (r *Router) handleLoads(l *elmpeer.Loads) {
+	loads := map[uint32]int{}
+	for _, e := range l.GetLoads() {
+		loads[e.GetEndpoint()] = int(e.GetOpen())
+	}
+	now := elmclock.Now()
+	r.mutex.Lock()
+	if l.GetDatacentre() == "" {
+		r.placer.SetPeerLoads(l.GetEntry(), loads, now)
+		r.relay.Hear(l.GetEntry(), now)
+	} else {
+		r.placer.SetDatacentreLoads(l.GetDatacentre(), loads, now)
+		r.relay.HearDatacentre(l.GetDatacentre(), l.GetEntry(), now)
+	}
+	r.mutex.Unlock()
+	if l.GetDatacentre() == "" || l.GetDirect() {
+		return
+	}
+	l.Direct = true
+	local, _ := r.otherEntries()
+	r.sendLoads(l, addressesOf(local))
+}
+
+// reportLoads tells the entries of this data centre of changes of this entry's loads. At
+// least each maxReportInterval it reads the list of entries and reports even without any.
+func (r *Router) reportLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		local, remote := r.otherEntries()
+		r.peers.SetAddresses(addressesOf(local), addressesOf(remote))
+		listed := slices.Collect(maps.Keys(r.follower.Snapshot().SystemKeys(entriesPrefix)))
+		slowList, now := r.slowRanks(), elmclock.Now()
+		r.mutex.Lock()
+		r.placer.SetEntries(listed, now)
+		r.placer.SetSlow(slowList)
+		message := &elmpeer.Loads{Entry: r.settings.Instance, Loads: encodeLoads(r.placer.Loads())}
+		r.mutex.Unlock()
+		r.sendLoads(message, addressesOf(local))
+		elmclock.Wait(ctx, minReportInterval)
+		timer := time.NewTimer(maxReportInterval - minReportInterval)
+		select {
+		case <-ctx.Done():
+		case <-r.loadsChanged:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// reportSums tells other data centres the loads of this one while this entry is its relay.
+func (r *Router) reportSums(ctx context.Context) {
+	for ctx.Err() == nil {
+		elmclock.Wait(ctx, sumInterval)
+		now := elmclock.Now()
+		r.mutex.Lock()
+		if !r.relay.IsRelay(now) {
+			r.mutex.Unlock()
+			continue
+		}
+		sums := encodeLoads(r.placer.SumLoads(now))
+		r.mutex.Unlock()
+		_, remote := r.otherEntries()
+		for datacentre, list := range byDatacentre(remote) {
+			r.mutex.Lock()
+			targets, direct := r.relay.Targets(datacentre, namesOf(list), now)
+			r.mutex.Unlock()
+			message := &elmpeer.Loads{Entry: r.settings.Instance, Loads: sums, Datacentre: r.settings.Datacentre, Direct: direct}
+			r.sendLoads(message, addressesOf(slices.DeleteFunc(list, func(e entry) bool { return !slices.Contains(targets, e.name) })))
+		}
+	}
+}
+
+// sendLoads sends loads to entries at addresses.
+func (r *Router) sendLoads(l *elmpeer.Loads, addresses []string) {
+	if err := r.peers.SendLoads(l, addresses); err != nil {
+		r.meter.Count("elmcove_tell_failures_total", "entry", r.settings.Instance)
+	}
+}
+
+// wakeReporter makes reportLoads report a change of this entry's loads.
+func (r *Router) wakeReporter() {
+	select {
+	case r.loadsChanged <- struct{}{}:
+	default:
+	}
+}
+
+func encodeLoads(loads map[uint32]int) []*elmpeer.Load {
+	var list []*elmpeer.Load
+	for id, open := range loads {
+		list = append(list, &elmpeer.Load{Endpoint: id, Open: uint32(open)})
+	}
+	return list
+}
+
+func byDatacentre(list []entry) map[string][]entry {
+	groups := map[string][]entry{}
+	for _, e := range list {
+		groups[e.datacentre] = append(groups[e.datacentre], e)
+	}
+	return groups
+}
+
+func namesOf(list []entry) []string {
+	var names []string
+	for _, e := range list {
+		names = append(names, e.name)
+	}
+	return names
+}
+
+// slowRanks returns the slow ranks of all groups.
+func (r *Router) slowRanks() elmslow.List {
+	all := elmslow.List{}
+	for _, text := range r.follower.Snapshot().SystemKeys(elmslow.KeyPrefix) {
+		maps.Copy(all, elmslow.Parse(text))
+	}
+	return all
+}
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -144,6 +144,7 @@
 		return member, false
 	}
 	placer.Begin(member.ID, now)
+	d.router.wakeReporter()
 	return member, true
 }
 
