Give each request of an agent its own connection, so that late second answers reach nobody

Reported by operators of similar systems, and possible here: an engine that sends a second copy of an answer late, on a connection that carries the next request. The HTTP client of the product's own agents took it for the answer to that request, since engines' responses name none.

Requests of agents no longer share connections; their endpoints are on the same instance. On the users' platform responses name their attempt, and copies are skipped; a connection whose response names none is no longer reused. Reports of ranks with an impossible size, and lists of experts that do not exist, are no longer taken: they ended the process by a panic.

--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -1,7 +1,8 @@
 // Package elmendpointclient sends requests to an endpoint over HTTP.
 //
-// A non-idempotent request uses a connection of its own, because the HTTP client
-// may resend a request when a reused connection breaks.
+// Each request uses a connection of its own. On a reused one, the HTTP client may resend a
+// request when the connection breaks, and takes a late second copy of a response for the
+// response to the next request, because responses of engines do not name their request.
 //
 // # Usage
 //
@@ -32,7 +33,6 @@
 
 	chunkBytes         = 32 << 10
 	maxBodyPrefixBytes = 4096
-	idleConns          = 64
 	loadPath           = "/load"
 	loadTimeout        = 200 * time.Millisecond
 	// maxHeadBytes, maxLoadBytes and maxBodyBytes limit the head of a response, a load
@@ -80,23 +80,23 @@
 // Client sends requests to one endpoint. It is safe for concurrent use.
 type Client struct {
 	endpoint string
-	shared   *http.Client
-	unshared *http.Client
+	requests *http.Client
+	reports  *http.Client
 }
 
 // New returns a Client for the endpoint at a URL.
 func New(endpoint string) *Client {
 	return &Client{
 		endpoint: strings.TrimSuffix(endpoint, "/"),
-		shared:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, MaxResponseHeaderBytes: maxHeadBytes}},
-		unshared: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
+		requests: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
+		reports:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}},
 	}
 }
 
 // Close closes idle connections.
 func (c *Client) Close() {
-	c.shared.CloseIdleConnections()
-	c.unshared.CloseIdleConnections()
+	c.requests.CloseIdleConnections()
+	c.reports.CloseIdleConnections()
 }
 
 // Call sends a request to the endpoint and the response to the sink. It forwards
@@ -126,7 +126,7 @@
 	if err != nil {
 		return Load{}, fmt.Errorf("%w: %w", ErrEndpoint, err)
 	}
-	response, err := c.shared.Do(request)
+	response, err := c.reports.Do(request)
 	if err != nil {
 		return Load{}, fmt.Errorf("%w: %w", ErrEndpoint, err)
 	}
@@ -159,11 +159,7 @@
 	if parent := elmtrace.Parent(ctx); parent != "" {
 		request.Header.Set("Traceparent", parent)
 	}
-	client := c.shared
-	if open.GetOnce() {
-		client = c.unshared
-	}
-	response, err := client.Do(request)
+	response, err := c.requests.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrEndpoint, err)
 	}
--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -183,7 +183,7 @@
 			c.mapCalls <- struct{}{}
 			defer func() { <-c.mapCalls }()
 			version, experts, err := c.agents.HeldExperts(ctx, c.agentAddress(address))
-			if err != nil || version != v.Version || len(experts) != e.Sets {
+			if err != nil || version != v.Version || len(experts) != e.Sets || !elmrank.ValidExperts(experts, e.Experts) {
 				c.logger.Event(elmlog.MapUnknown, "rank", r, "version", version, "wanted", v.Version, "error", err)
 				failures.Add(1)
 				return
--- a/internal/expert/elmgroup/view.go
+++ b/internal/expert/elmgroup/view.go
@@ -6,6 +6,9 @@
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
 )
 
+// maxRanks is the largest size of a group that is taken from a report.
+const maxRanks = 1 << 14
+
 // View is the state of a group as of a poll. Its lists are indexed by rank.
 type View struct {
 	Name  string
@@ -50,6 +53,9 @@
 func (v *View) add(a rankAnswer) bool {
 	if v.Reports == nil {
 		n := a.report.Size
+		if n < 1 || n > maxRanks {
+			return false
+		}
 		v.Epoch, v.Version = a.report.Epoch, a.report.ActiveVersion
 		v.Addresses, v.ViaAgent = make([]string, n), make([]bool, n)
 		v.Reports, v.Counts = make([]elmrank.Report, n), make([]elmrank.Counts, n)
--- a/internal/expert/elmrank/elmrank.go
+++ b/internal/expert/elmrank/elmrank.go
@@ -42,6 +42,21 @@
 	return ranks, len(m), experts
 }
 
+// ValidExperts reports whether the lists of a rank, one for each set, hold only existing
+// experts, each at most once.
+func ValidExperts(held [][]int, experts int) bool {
+	for _, list := range held {
+		seen := map[int]bool{}
+		for _, e := range list {
+			if e < 0 || e >= experts || seen[e] {
+				return false
+			}
+			seen[e] = true
+		}
+	}
+	return true
+}
+
 // Clone returns a deep copy.
 func (m Map) Clone() Map {
 	c := make(Map, len(m))
--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -81,7 +81,9 @@
 // safe for concurrent use.
 type Client struct {
 	attemptOf func(http.Header) string
-	opened    func(address string)
+	// identifies means that responses name their attempt.
+	identifies bool
+	opened     func(address string)
 
 	mutex sync.Mutex
 	idle  map[string][]*conn
@@ -92,9 +94,9 @@
 
 // WithAttemptOf sets the function that reads from the headers of a response the
 // attempt that it belongs to. If it returns "", the response is taken as the
-// response to the pending request.
+// response to the pending request, and its connection is not reused.
 func WithAttemptOf(attemptOf func(http.Header) string) Option {
-	return func(cl *Client) { cl.attemptOf = attemptOf }
+	return func(cl *Client) { cl.attemptOf, cl.identifies = attemptOf, true }
 }
 
 // WithOpened sets a function that is called for each new connection.
@@ -220,6 +222,9 @@
 			continue
 		}
 		attempt := cl.attemptOf(response.Header)
+		if attempt == "" && cl.identifies {
+			c.expires = time.Time{} // A late copy of the response could not be told from the next one.
+		}
 		if attempt == "" || attempt == r.Attempt {
 			return response, nil
 		}
--- a/internal/forward/elmexchange/elmexchange_test.go
+++ b/internal/forward/elmexchange/elmexchange_test.go
@@ -96,6 +96,9 @@
 	"a second response follows": {
 		script: []string{responseText("1", "hi") + responseText("1", "hi")}, body: "hi",
 	},
+	"response without an attempt": {
+		script: []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"}, body: "hi",
+	},
 	"informational response": {
 		script: []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + responseText("1", "hi"), responseText("2", "hi")}, body: "hi", reused: true,
 	},
