Recover panics of single requests, plans and repairs, and bound the time in which a response is written

Reported by operators of similar systems, and possible here: a report of a rank with a negative size or a list with an expert that does not exist ended the process of a planner or an agent, since these work outside net/http's handlers (TestMalformedReports, FuzzReport). A caller that did not read its response kept the slot of an endpoint for as long as it liked; the write now has a deadline 5 s after the request's time limit (TestCallerThatDoesNotRead failed before).

A panic in a request is logged with its id (1009), counted, and answered as unknown; locks are released (TestPanicEndsOneRequest). Events 1534 to 1536 for stalled groups and relays.

--- a/internal/expert/elmplanner/elmplanner.go
+++ b/internal/expert/elmplanner/elmplanner.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	planner := elmplanner.New(settings, store, follower.Snapshot, logger)
+//	planner := elmplanner.New(settings, store, follower.Snapshot, logger, guard)
 //	go planner.Run(ctx)
 package elmplanner
 
@@ -26,6 +26,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmslow"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
+	"github.com/elmcove/elmcove/internal/observe/elmguard"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
 )
@@ -52,6 +53,7 @@
 	store    *platform.Store
 	snapshot func() elmsnapshot.Snapshot
 	logger   *elmlog.Logger
+	guard    elmguard.Guard
 	services map[string]*serviceState
 }
 
@@ -84,8 +86,8 @@
 }
 
 // New returns a planner that is not running yet.
-func New(settings platform.Settings, store *platform.Store, snapshot func() elmsnapshot.Snapshot, logger *elmlog.Logger) *Planner {
-	return &Planner{settings: settings, store: store, snapshot: snapshot, logger: logger, services: map[string]*serviceState{}}
+func New(settings platform.Settings, store *platform.Store, snapshot func() elmsnapshot.Snapshot, logger *elmlog.Logger, guard elmguard.Guard) *Planner {
+	return &Planner{settings: settings, store: store, snapshot: snapshot, logger: logger, guard: guard, services: map[string]*serviceState{}}
 }
 
 // Run runs the planner until the context ends.
@@ -103,7 +105,7 @@
 		}
 		for _, s := range p.snapshot().Catalog().Services() {
 			if s.Engine != nil && s.Engine.Sets > 0 {
-				p.planService(ctx, s)
+				p.guard.Run("plan "+s.Name, func() { p.planService(ctx, s) })
 			}
 		}
 	}
@@ -168,7 +170,9 @@
 			g = &groupState{controller: p.newController()}
 			state.groups[v.Name] = g
 		}
-		wait.Go(func() { adapted[i] = p.updateMap(ctx, s, g, v) })
+		wait.Go(func() {
+			p.guard.Run("update map of "+v.Name, func() { adapted[i] = p.updateMap(ctx, s, g, v) })
+		})
 	}
 	wait.Wait()
 	return !slices.Contains(adapted, false)
--- a/internal/expert/elmplanner/elmplanner_test.go
+++ b/internal/expert/elmplanner/elmplanner_test.go
@@ -15,7 +15,9 @@
 	"github.com/elmcove/elmcove/internal/expert/elmplanner"
 	"github.com/elmcove/elmcove/internal/expert/elmrankagent"
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
+	"github.com/elmcove/elmcove/internal/observe/elmguard"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/platform"
 	"github.com/elmcove/elmcove/platform/stand"
 )
@@ -88,7 +90,9 @@
 	settings := platform.Settings{Instance: name, Ports: []int{port}, MinLeaseTTL: time.Second}
 	var wait sync.WaitGroup
 	wait.Go(func() { follower.Run(t.Context()) })
-	wait.Go(func() { elmplanner.New(settings, store, follower.Snapshot, logger).Run(ctx) })
+	wait.Go(func() {
+		elmplanner.New(settings, store, follower.Snapshot, logger, elmguard.New(logger, elmmeter.New())).Run(ctx)
+	})
 	t.Cleanup(wait.Wait)
 }
 
--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -21,6 +21,7 @@
 	"github.com/elmcove/elmcove/internal/expert/elmmaps"
 	"github.com/elmcove/elmcove/internal/expert/elmrank"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
+	"github.com/elmcove/elmcove/internal/observe/elmguard"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/platform"
@@ -61,6 +62,7 @@
 	settings   platform.Settings
 	logger     *elmlog.Logger
 	meter      *elmmeter.Meter
+	guard      elmguard.Guard
 	store      *platform.Store
 	ranks      *platform.RankClient
 	orders     *platform.RankClient
@@ -72,8 +74,9 @@
 
 // New returns an agent that is not running yet.
 func New(settings platform.Settings, logger *elmlog.Logger) *Agent {
+	meter := elmmeter.New()
 	return &Agent{
-		settings: settings, logger: logger, meter: elmmeter.New(),
+		settings: settings, logger: logger, meter: meter, guard: elmguard.New(logger, meter),
 		store: platform.NewStore(settings.Store), ranks: platform.NewRankClient(callTimeout), orders: platform.NewRankClient(orderTimeout),
 		controller: elmgroup.New(settings.Instance, settings.Ports[0], logger),
 	}
@@ -122,7 +125,7 @@
 		timeout := actionDelay(report)
 		if a.stall.update(report, now) && now-a.stall.since >= timeout && now-a.stall.attemptedAt >= timeout {
 			a.stall.attemptedAt = now
-			a.repairGroup(ctx, report, now-a.stall.since)
+			a.guard.Run("repair group", func() { a.repairGroup(ctx, report, now-a.stall.since) })
 		}
 	}
 }
--- a/internal/forward/elmrelay/elmrelay.go
+++ b/internal/forward/elmrelay/elmrelay.go
@@ -52,13 +52,17 @@
 }
 
 // IsRelay reports whether this entry is the relay of its data centre.
-func (r *Relay) IsRelay(now time.Duration) bool {
+func (r *Relay) IsRelay(now time.Duration) bool { return r.Relay(now) == r.self }
+
+// Relay returns the relay of this data centre.
+func (r *Relay) Relay(now time.Duration) string {
+	first := r.self
 	for entry, at := range r.heard {
-		if entry < r.self && now-at < ReportTTL {
-			return false
+		if entry < first && now-at < ReportTTL {
+			first = entry
 		}
 	}
-	return true
+	return first
 }
 
 // Targets returns the entries of another data centre that the relay sends its sums to, out
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -89,9 +89,8 @@
 		lifecycle: elmlifecycle.New(a.route.Retryable(), a.route.Attempts),
 	}
 	d.callerRetry = d.isCallerRetry()
-	r.mutex.Lock()
-	r.placer.RecordRequest(a.service.Name, a.began)
-	r.mutex.Unlock()
+	defer d.recoverPanic()
+	r.recordRequest(a)
 	defer d.release(elmplace.Ignored)
 	message := elmlifecycle.Message(elmlifecycle.Start{})
 	abort := false
@@ -105,6 +104,29 @@
 	}
 }
 
+// recordRequest records a request of a caller.
+func (r *Router) recordRequest(a admitted) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.placer.RecordRequest(a.service.Name, a.began)
+}
+
+// recoverPanic ends a request whose handling has panicked. The endpoint may have run it.
+func (d *delivery) recoverPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if value == http.ErrAbortHandler { //nolint:errorlint // net/http compares it as well.
+		panic(value)
+	}
+	d.router.guard.Record("request "+d.requestInfo.Attempt, value)
+	if d.status != 0 {
+		panic(http.ErrAbortHandler)
+	}
+	d.router.respond(d.writer, d.requestInfo, http.StatusBadGateway, 0, "")
+}
+
 // execute runs a command. It returns the resulting message, or nil at the
 // end of the lifecycle, and whether to abort the caller's connection.
 func (d *delivery) execute(c elmlifecycle.Command) (elmlifecycle.Message, bool) {
@@ -216,6 +238,7 @@
 		d.pause = d.router.placer.QuarantineRemaining(d.signatures, now)
 		d.router.recordQuarantined(d.signatures, now)
 	}
+	d.router.recordStall(d.service.Name, d.verdict == elmplace.Stalled)
 	if d.verdict != elmplace.Placed {
 		return elmlifecycle.Unplaced{}
 	}
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -35,6 +35,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmsignature"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
+	"github.com/elmcove/elmcove/internal/observe/elmguard"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/wire/elmabort"
@@ -73,6 +74,7 @@
 	settings platform.Settings
 	logger   *elmlog.Logger
 	meter    *elmmeter.Meter
+	guard    elmguard.Guard
 	store    *platform.Store
 	ranks    *platform.RankClient
 	follower *elmfollower.Follower
@@ -96,6 +98,8 @@
 	// broken holds the services whose groups are polled because they are broken.
 	broken map[string]struct{}
 	// lost holds the endpoints that are being checked for a crash, by ID.
+	// stalled holds the services whose groups make no progress.
+	stalled  map[string]bool
 	lost     map[string]*lostResponses
 	detector *elmcrash.Detector
 	// applied holds the notices on endpoints that were applied, by key. Only
@@ -122,6 +126,7 @@
 		pollWake:        make(chan struct{}, 1),
 		loadsChanged:    make(chan struct{}, 1),
 		relay:           elmrelay.New(settings.Instance),
+		stalled:         map[string]bool{},
 		lost:            map[string]*lostResponses{},
 		detector:        elmcrash.New(time.Now().UnixMilli()),
 		applied:         map[string]string{},
@@ -135,6 +140,7 @@
 			ColdFactor:  settings.Bounds.ColdFactor, ColdSlack: settings.Bounds.ColdSlack,
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	r.guard = elmguard.New(logger, r.meter)
 	r.board = elmnotice.New(r.store, settings.MinLeaseTTL, logger)
 	r.peers = elmpeers.New(r.internalAddress(), settings.Seeds)
 	r.follower = elmfollower.New(r.store, logger, elmfollower.WithPeers(r.peers.FetchSnapshots), elmfollower.WithSharedReader(r.readFromEntry),
@@ -200,7 +206,7 @@
 	go r.pollGroups(base)
 	planning, endPlanning := context.WithCancel(base)
 	defer endPlanning()
-	go elmplanner.New(r.settings, r.store, r.follower.Snapshot, r.logger).Run(planning)
+	go elmplanner.New(r.settings, r.store, r.follower.Snapshot, r.logger, r.guard).Run(planning)
 	select {
 	case err := <-failures:
 		return fmt.Errorf("%w: %w", ErrRouter, err)
--- a/internal/forward/elmrouter/groups.go
+++ b/internal/forward/elmrouter/groups.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// recordStall logs when a service's group stops or resumes making progress. The caller
+// holds the mutex.
+func (r *Router) recordStall(service string, stalled bool) {
+	if r.stalled[service] == stalled {
+		return
+	}
+	r.stalled[service] = stalled
+	event := elmlog.StallEnded
+	if stalled {
+		event = elmlog.StallBegan
+	}
+	r.logger.Event(event, "service", service)
+}
+
 // startPolling makes pollGroups poll a service's group until that is open.
 func (r *Router) startPolling(service string) {
 	r.mutex.Lock()
--- a/internal/forward/elmrouter/idlecloser.go
+++ b/internal/forward/elmrouter/idlecloser.go
@@ -31,6 +31,7 @@
 		delete(ic.timers, c)
 	}
 	if state == http.StateIdle {
+		_ = c.SetWriteDeadline(time.Time{}) // That of the last request does not hold for the next one.
 		ic.timers[c] = time.AfterFunc(ic.limit(), func() { _ = c.Close() })
 	}
 }
--- a/internal/forward/elmrouter/loads.go
+++ b/internal/forward/elmrouter/loads.go
@@ -90,11 +90,16 @@
 
 // reportSums tells other data centres the loads of this one while this entry is its relay.
 func (r *Router) reportSums(ctx context.Context) {
+	current := ""
 	for ctx.Err() == nil {
 		elmclock.Wait(ctx, sumInterval)
 		now := elmclock.Now()
 		r.mutex.Lock()
-		if !r.relay.IsRelay(now) {
+		if relay := r.relay.Relay(now); relay != current {
+			current = relay
+			r.logger.Event(elmlog.RelayChanged, "relay", current, "datacentre", r.settings.Datacentre)
+		}
+		if current != r.settings.Instance {
 			r.mutex.Unlock()
 			continue
 		}
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -21,6 +21,9 @@
 const (
 	// defaultTimeout applies if neither the route nor the caller sets a timeout.
 	defaultTimeout = 30 * time.Second
+	// writeMargin is the time in which a caller reads the end of a response that was made
+	// within the request's time limit, or a refusal.
+	writeMargin = 5 * time.Second
 	// staleAge is the snapshot age beyond which an unknown route or credential may
 	// belong to a newer configuration.
 	staleAge = 3 * time.Second
@@ -75,19 +78,28 @@
 	}
 	requestInfo := platform.ReadRequestInfo(request.Header)
 	snapshot := r.follower.Snapshot()
+	limitWriting(w, writeMargin)
 	a, err := r.admit(request, requestInfo, snapshot, began)
 	if err != nil {
 		var refused refusalError
 		if errors.As(err, &refused) {
+			limitWriting(w, writeMargin)
 			r.refuse(w, requestInfo, refused, snapshot.Age(began), elmclock.Now()-began)
 		}
 		return
 	}
+	limitWriting(w, a.timeLimit+writeMargin)
 	ctx, cancel := context.WithTimeoutCause(request.Context(), a.timeLimit-(elmclock.Now()-began), errDeadlineExceeded)
 	defer cancel()
 	r.deliver(ctx, w, request, a)
 }
 
+// limitWriting bounds the time in which a response can be written. A caller that does not
+// read would otherwise keep the slot of an endpoint beyond the request's time limit.
+func limitWriting(w http.ResponseWriter, limit time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit)) // Not all writers support deadlines.
+}
+
 // admit checks a request against the configuration and reads its body.
 func (r *Router) admit(request *http.Request, requestInfo platform.RequestInfo, snapshot elmsnapshot.Snapshot, began time.Duration) (admitted, error) {
 	a := admitted{requestInfo: requestInfo, began: began}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -22,6 +22,7 @@
 	SettingsRefused     Event = 1006
 	LinesDropped        Event = 1007
 	ReadinessChanged    Event = 1008
+	PanicRecovered      Event = 1009
 	ConfigAdopted       Event = 1101
 	ConfigRefused       Event = 1102
 	StoreDown           Event = 1201
@@ -66,6 +67,9 @@
 	OrderNotAccepted    Event = 1531
 	EndpointBroken      Event = 1532
 	GroupNotRepaired    Event = 1533
+	StallBegan          Event = 1534
+	StallEnded          Event = 1535
+	RelayChanged        Event = 1536
 	LeavingAnnounced    Event = 1541
 	PauseAnnounced      Event = 1542
 	PauseEnded          Event = 1543
@@ -96,6 +100,7 @@
 	Started:             {hclog.Info, "process started", adviceNone},
 	Stopping:            {hclog.Info, "process is draining", adviceNone + " New work goes to other instances."},
 	Stopped:             {hclog.Info, "process stopped", adviceNone},
+	PanicRecovered:      {hclog.Error, "unexpected panic, the process goes on", "Report the stack. The work that is named was not done."},
 	Failed:              {hclog.Error, "process failed", "Read the error. The platform should replace the instance."},
 	ConfigAdopted:       {hclog.Info, "configuration revision in force", adviceNone},
 	ConfigRefused:       {hclog.Error, "configuration revision rejected", "The process keeps its last valid revision. Apply a valid one."},
@@ -132,6 +137,9 @@
 	MapUnknown:          {hclog.Warn, "expert map in use can't be read", "None if it is rare. Otherwise check the rank's agent."},
 	OrderNotAccepted:    {hclog.Info, "rank did not accept an order", "None if it is rare. If one rank rejects the same order repeatedly, check its report."},
 	EndpointBroken:      {hclog.Warn, "endpoint's group is broken, other groups of the service are not", "Check the endpoint that is reported as failed. If this persists, the endpoint belongs to no complete group."},
+	StallBegan:          {hclog.Warn, "group makes no progress, new requests are refused", "None if 1535 follows. Otherwise look for 1527 and 1528 of the group's agents."},
+	StallEnded:          {hclog.Info, "group makes progress again", "None."},
+	RelayChanged:        {hclog.Info, "relay of this data centre's loads changed", "None if it is rare. Otherwise check the instance that is named."},
 	GroupNotRepaired:    {hclog.Warn, "held group was not released", "None if 1518 or another 1525 follows. Otherwise check the ranks that hold it."},
 	InstanceListSuspect: {hclog.Warn, "instance list shrank suddenly and is not trusted", "Check the platform's instance list. Until it recovers, links show which agents are alive."},
 	LinkUp:              {hclog.Info, "link up", adviceNone},
