--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -264,6 +264,16 @@
 		return elmsnapshot.Member{}, Stalled
 	}
 	members, verdict := p.accepting(q, members, now)
+	best, verdict := p.cheapest(q, members, verdict, now)
+	if verdict == Placed {
+		p.endpoint(best.ID).service = q.Service.Name
+	}
+	return best, verdict
+}
+
+// cheapest returns the endpoint with the lowest cost among those that have free capacity.
+// If none has, it returns the reason, which is verdict if there are no endpoints.
+func (p *Placer) cheapest(q Query, members []elmsnapshot.Member, verdict Verdict, now time.Duration) (elmsnapshot.Member, Verdict) {
 	avoidSlow := slices.ContainsFunc(members, func(m elmsnapshot.Member) bool { return !p.IsSlow(m) })
 	var best elmsnapshot.Member
 	bestCost := 0.0
@@ -288,9 +298,6 @@
 			}
 		}
 	}
-	if verdict == Placed {
-		p.endpoint(best.ID).service = q.Service.Name
-	}
 	return best, verdict
 }
 
