Read the lists of entries and slow ranks each 100 ms, not with each report

A report follows each change of the loads, up to 40 times a second, and read, sorted and parsed the lists of entries and slow ranks each time.

--- a/internal/forward/elmrouter/loads.go
+++ b/internal/forward/elmrouter/loads.go
@@ -19,6 +19,9 @@
 	// maxReportInterval is the longest interval between two reports, by which entries
 	// also know that this one is alive.
 	maxReportInterval = 400 * time.Millisecond
+	// listInterval is the interval between two reads of the lists of entries and of slow
+	// ranks.
+	listInterval = 100 * time.Millisecond
 	// sumInterval is the interval between two reports to other data centres. Traffic
 	// between data centres is billed.
 	sumInterval = 200 * time.Millisecond
@@ -60,34 +63,54 @@
 	r.sendLoads(l, addressesOf(local))
 }
 
-// reportLoads tells the entries of this data centre of changes of this entry's loads. At
-// least each maxReportInterval it reads the list of entries and reports even without any.
+// reportLoads tells the entries of this data centre of changes of this entry's loads, at
+// least each maxReportInterval.
 func (r *Router) reportLoads(ctx context.Context) {
+	var local []string
+	nextList, nextReport := time.Duration(0), time.Duration(0)
 	for ctx.Err() == nil {
-		local, remote := r.otherEntries()
-		r.peers.SetAddresses(addressesOf(local), addressesOf(remote))
-		listed := slices.Collect(maps.Keys(r.follower.Snapshot().SystemKeys(entriesPrefix)))
-		slowList, now := r.slowRanks(), elmclock.Now()
-		r.mutex.Lock()
-		r.placer.SetEntries(listed, now)
-		r.placer.SetSlow(slowList)
-		message := &elmpeer.Loads{Entry: r.settings.Instance, Loads: encodeLoads(r.placer.Loads())}
-		r.mutex.Unlock()
-		r.sendLoads(message, addressesOf(local))
-		if len(slowList) > 0 {
-			r.leaveSlowRanks(r.follower.Snapshot(), now)
+		now := elmclock.Now()
+		if now >= nextList {
+			local, nextList = r.readLists(now), now+listInterval
+		}
+		if now >= nextReport {
+			r.mutex.Lock()
+			message := &elmpeer.Loads{Entry: r.settings.Instance, Loads: encodeLoads(r.placer.Loads())}
+			r.mutex.Unlock()
+			r.sendLoads(message, local)
+			nextReport = now + maxReportInterval
 		}
 		elmclock.Wait(ctx, minReportInterval)
-		timer := time.NewTimer(maxReportInterval - minReportInterval)
+		timer := time.NewTimer(listInterval - minReportInterval)
 		select {
 		case <-ctx.Done():
 		case <-r.loadsChanged:
+			nextReport = 0
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
 
+// readLists reads the lists of entries and of slow ranks from the snapshot, and returns the
+// addresses of the other entries of this data centre.
+func (r *Router) readLists(now time.Duration) []string {
+	local, remote := r.otherEntries()
+	addresses := addressesOf(local)
+	r.peers.SetAddresses(addresses, addressesOf(remote))
+	snapshot := r.follower.Snapshot()
+	listed := slices.Collect(maps.Keys(snapshot.SystemKeys(entriesPrefix)))
+	slowList := r.slowRanks()
+	r.mutex.Lock()
+	r.placer.SetEntries(listed, now)
+	r.placer.SetSlow(slowList)
+	r.mutex.Unlock()
+	if len(slowList) > 0 {
+		r.leaveSlowRanks(snapshot, now)
+	}
+	return addresses
+}
+
 // reportSums tells other data centres the loads of this one while this entry is its relay.
 func (r *Router) reportSums(ctx context.Context) {
 	current := ""
