Let entries use their shares at once that are listed when they start

Cause: since shares are dealt in whole units, an entry used none of a cold limit in the first 2 s after its start.

Change: an entry whose key is still listed when it starts is counted by the others already, and uses a third of its shares at once.

--- a/internal/forward/elmrouter/loads.go
+++ b/internal/forward/elmrouter/loads.go
@@ -102,7 +102,9 @@
 	listed := slices.Collect(maps.Keys(snapshot.SystemKeys(entriesPrefix)))
 	slowList := r.slowRanks()
 	r.mutex.Lock()
-	r.placer.SetEntries(listed, now)
+	if snapshot.HasConfig() {
+		r.placer.SetEntries(listed, now)
+	}
 	r.placer.SetSlow(slowList)
 	r.mutex.Unlock()
 	if len(slowList) > 0 {
--- a/internal/limit/elmshare/elmshare.go
+++ b/internal/limit/elmshare/elmshare.go
@@ -8,9 +8,11 @@
 // The shares of all entries add up to at most the limit while they disagree on who they
 // are, because an entry only ever counts too many others: it keeps counting those that
 // are no longer listed, and uses no share until it has been listed itself for so long
-// that all others count it. An entry that was partitioned for longer than entryTTL may
-// use a share that others have taken over, and one that has restarted uses a part of a
-// share that may be used up, so users of the package leave a quarter of a limit unused.
+// that all others count it. They count an entry already that is listed when it starts.
+//
+// An entry that was partitioned for longer than entryTTL may use a share that others have
+// taken over, and one that has restarted uses a part of a share that may be used up, so
+// users of the package leave a quarter of a limit unused.
 //
 // The package does no input or output.
 //
@@ -50,9 +52,13 @@
 	seen map[string]time.Duration
 	// names are the entries that hold shares, sorted.
 	names []string
-	// listed is set once this entry has been listed, first at listedAt.
-	listed   bool
-	listedAt time.Duration
+	// startedAt is the time of the first Update, if any.
+	started   bool
+	startedAt time.Duration
+	// listed is set once this entry has been listed, and settledAt is when all others
+	// count it.
+	listed    bool
+	settledAt time.Duration
 	// positions caches this entry's position among names, by key.
 	positions map[string]int
 }
@@ -66,10 +72,16 @@
 func (l *Ledger) Update(listed []string, now time.Duration) {
 	for _, name := range listed {
 		l.seen[name] = now
-		if name == l.self && !l.listed {
-			l.listed, l.listedAt = true, now
+	}
+	if _, ok := l.seen[l.self]; ok && !l.listed {
+		l.listed, l.settledAt = true, now+settleDelay
+		if !l.started { // The others know the process that ran under this name before.
+			l.settledAt = now
 		}
 	}
+	if !l.started {
+		l.started, l.startedAt = true, now
+	}
 	maps.DeleteFunc(l.seen, func(_ string, at time.Duration) bool { return now-at > entryTTL })
 	if l.unchanged() {
 		return
@@ -91,7 +103,7 @@
 
 // IsSettled reports whether all entries count this one, so that it may use its shares.
 func (l *Ledger) IsSettled(now time.Duration) bool {
-	return l.listed && now-l.listedAt >= settleDelay
+	return l.listed && now >= l.settledAt
 }
 
 // Share returns how many units of a limit per window this entry may use.
@@ -99,7 +111,7 @@
 	if !l.IsSettled(now) {
 		return 0
 	}
-	if now-l.listedAt < window {
+	if now-l.startedAt < window {
 		limit *= restartRatio
 	}
 	position, units := l.Position(key), int(limit)
