--- a/internal/expert/elmgroup/elmgroup.go
+++ b/internal/expert/elmgroup/elmgroup.go
@@ -63,10 +63,10 @@
 	plannerID int64
 	ranks     *platform.RankClient
 	orders    *platform.RankClient
-	// agents calls ranks through their agents, and beside the agents themselves.
-	agents *platform.RankClient
-	beside *Agents
-	logger *elmlog.Logger
+	// viaAgents calls ranks through their agents, and agents the agents themselves.
+	viaAgents *platform.RankClient
+	agents    *Agents
+	logger    *elmlog.Logger
 	// turn selects the agents that collect answers.
 	turn int
 	// mapCalls has one element for each call with a map that is in progress.
@@ -89,8 +89,8 @@
 func New(name string, port int, logger *elmlog.Logger) *Controller {
 	return &Controller{
 		name: name, plannerID: int64(xxhash.Sum64String(name) % elmrollout.VersionStride),
-		ranks: platform.NewRankClient(callTimeout), orders: platform.NewRankClient(orderTimeout), agents: platform.NewAgentClient(agentTimeout),
-		beside: NewAgents(port, agentTimeout), logger: logger, mapCalls: make(chan struct{}, maxMapCalls), maps: map[int64]elmrank.Map{},
+		ranks: platform.NewRankClient(callTimeout), orders: platform.NewRankClient(orderTimeout), viaAgents: platform.NewAgentClient(agentTimeout),
+		agents: NewAgents(port, agentTimeout), logger: logger, mapCalls: make(chan struct{}, maxMapCalls), maps: map[int64]elmrank.Map{},
 	}
 }
 
@@ -116,7 +116,7 @@
 		wait.Go(func() {
 			c.mapCalls <- struct{}{}
 			defer func() { <-c.mapCalls }()
-			version, experts, err := c.agents.HeldExperts(ctx, c.beside.Address(address))
+			version, experts, err := c.viaAgents.HeldExperts(ctx, c.agents.Address(address))
 			if err != nil || version != v.Version || len(experts) != e.Sets || !elmrank.ValidExperts(experts, e.Experts) {
 				c.logger.Event(elmlog.MapUnknown, "rank", r, "version", version, "wanted", v.Version, "error", err)
 				failures.Add(1)
@@ -249,14 +249,14 @@
 // its agent supplies it.
 func (c *Controller) sendPrepare(ctx context.Context, address string, viaAgent bool, order elmrank.Order) elmrank.Outcome {
 	if viaAgent && order.Reuse {
-		if outcome, known := c.beside.Prepare(ctx, address, order); known {
+		if outcome, known := c.agents.Prepare(ctx, address, order); known {
 			return outcome
 		}
 	}
 	c.mapCalls <- struct{}{}
 	defer func() { <-c.mapCalls }()
 	if viaAgent {
-		return c.agents.SendOrder(ctx, c.beside.Address(address), order)
+		return c.viaAgents.SendOrder(ctx, c.agents.Address(address), order)
 	}
 	return c.ranks.SendOrder(ctx, address, order)
 }
@@ -272,7 +272,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	report, err := c.agents.Report(limited, c.beside.Address(address))
+	report, err := c.viaAgents.Report(limited, c.agents.Address(address))
 	if err != nil {
 		report, err = ranks.Report(ctx, address)
 	}
--- a/internal/expert/elmgroup/poll.go
+++ b/internal/expert/elmgroup/poll.go
@@ -95,7 +95,7 @@
 // gets no answer from are polled directly.
 func (c *Controller) pollChunk(ctx context.Context, p *poll, ranks []string) {
 	collector := ranks[c.turn%len(ranks)]
-	states, err := c.beside.Collect(ctx, collector, c.name, ranks)
+	states, err := c.agents.Collect(ctx, collector, c.name, ranks)
 	if err != nil {
 		c.logger.Event(elmlog.CountsMissing, "rank", collector, "error", err)
 	}
@@ -120,7 +120,7 @@
 // pollRank polls one rank through its agent, or directly if the agent does not answer.
 func (c *Controller) pollRank(ctx context.Context, address string) rankAnswer {
 	a := rankAnswer{address: address, viaAgent: true}
-	if a.report, a.err = c.agents.Report(ctx, c.beside.Address(address)); a.err != nil {
+	if a.report, a.err = c.viaAgents.Report(ctx, c.agents.Address(address)); a.err != nil {
 		a.viaAgent = false
 		a.report, a.err = c.ranks.Report(ctx, address)
 	}
