Look at the share of an entry again a second after all others are missing

The time in TestAllEntriesMissing had been raised to 10 s while entries used no share for 2 s after their start.

--- a/internal/forward/elmplace/elmplace_test.go
+++ b/internal/forward/elmplace/elmplace_test.go
@@ -295,7 +295,7 @@
 		at   time.Duration
 		want int
 	}{
-		"just missing":  {10 * time.Second, 6},
+		"just missing":  {time.Second, 6},
 		"still missing": {time.Minute, 46},
 	} {
 		t.Run(name, func(t *testing.T) {
