Log when endpoints are kept after an outage, and through whom an entry reads the store

Cause: in the logs of the incident an endpoint is in use 3.4 s after its entry was removed, and no line says why: neither that it is kept, nor which reads came through another entry. No change of logic.

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -116,9 +116,14 @@
 // respond, it fetches from peers.
 func (f *Follower) Run(ctx context.Context) {
 	lastFullRead := time.Duration(-1)
-	down := false
+	down, shared := false, false
 	for ctx.Err() == nil {
-		if f.readShared(ctx) {
+		before := f.Snapshot()
+		if was := shared; f.readShared(ctx) != was {
+			shared = !was
+			f.logSource(shared, before)
+		}
+		if shared {
 			lastFullRead = -1
 			elmclock.Wait(ctx, sharedReadInterval)
 			continue
@@ -147,6 +152,16 @@
 	}
 }
 
+// logSource logs that this process begins or ends to read through another entry, with
+// the age of the snapshot before.
+func (f *Follower) logSource(shared bool, before elmsnapshot.Snapshot) {
+	source := "store"
+	if shared {
+		source = "entry"
+	}
+	f.logger.Event(elmlog.StateSourceChanged, "source", source, "revision", before.Position().Revision, "age", before.Age(elmclock.Now()))
+}
+
 // logStoreState logs when the store becomes unreachable or reachable again. It
 // returns whether it is unreachable.
 func (f *Follower) logStoreState(down bool, err error) bool {
@@ -322,6 +337,8 @@
 		f.logger.Event(elmlog.EndpointLeaving, "endpoint", n.Endpoint.ID, "revision", revision)
 	case elmsnapshot.Removed:
 		f.logger.Event(elmlog.EndpointRemoved, "endpoint", n.Endpoint.ID, "revision", revision)
+	case elmsnapshot.Kept:
+		f.logger.Event(elmlog.EndpointKept, "endpoint", n.Endpoint.ID, "for", n.For, "revision", revision)
 	case elmsnapshot.WithdrawalChanged:
 		event := elmlog.DatacentreReturned
 		if n.Withdrawn {
--- a/internal/forward/elmsnapshot/elmsnapshot.go
+++ b/internal/forward/elmsnapshot/elmsnapshot.go
@@ -302,6 +302,7 @@
 	if m.removeAt == 0 && at < s.relistUntil {
 		m.removeAt = s.relistUntil
 		s.members[id] = m
+		return []Notice{Kept{Endpoint: m.Endpoint, For: m.removeAt - at}}
 	}
 	if at < m.removeAt {
 		return nil
--- a/internal/forward/elmsnapshot/messages.go
+++ b/internal/forward/elmsnapshot/messages.go
@@ -71,6 +71,12 @@
 	Leaving struct{ Endpoint elmendpoint.Endpoint }
 	// Removed reports that an endpoint's entry was removed.
 	Removed struct{ Endpoint elmendpoint.Endpoint }
+	// Kept reports that an endpoint's entry is missing, but may be written again within
+	// a time after an outage of the store.
+	Kept struct {
+		Endpoint elmendpoint.Endpoint
+		For      time.Duration
+	}
 	// WithdrawalChanged reports that a data centre was withdrawn or restored.
 	WithdrawalChanged struct {
 		Datacentre string
@@ -82,4 +88,5 @@
 func (Appeared) notice()          {}
 func (Leaving) notice()           {}
 func (Removed) notice()           {}
+func (Kept) notice()              {}
 func (WithdrawalChanged) notice() {}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -31,6 +31,7 @@
 	PeerUsed            Event = 1204
 	StoreRead           Event = 1205
 	StoreRestored       Event = 1206
+	StateSourceChanged  Event = 1207
 	LinkUp              Event = 1301
 	LinkDown            Event = 1302
 	LinkRefused         Event = 1303
@@ -54,6 +55,7 @@
 	DatacentreReturned  Event = 1516
 	GroupBroken         Event = 1517
 	GroupOpen           Event = 1518
+	EndpointKept        Event = 1519
 	PlannerChosen       Event = 1521
 	MapPlanned          Event = 1522
 	MapRolledOut        Event = 1523
@@ -113,6 +115,7 @@
 	PeerUsed:            {hclog.Info, "platform state read from a peer", "Check the network path from this instance to the store."},
 	StoreRead:           {hclog.Info, "store read in full", adviceNone},
 	StoreRestored:       {hclog.Warn, "store returned from a copy, its latest writes are lost", "None in a drill. Otherwise ask the platform's operators. Check that the operator's configuration and withdrawals are written again."},
+	StateSourceChanged:  {hclog.Info, "source of the platform state changed", "If the source is the store for long, check the entry that reads the store for this one."},
 	RequestFinished:     {hclog.Info, "request finished", adviceNone},
 	RequestFailed:       {hclog.Info, "request failed and may have been executed", "Check its endpoint and error."},
 	RequestResumed:      {hclog.Info, "stream resumed on another endpoint", adviceNone},
@@ -121,6 +124,7 @@
 	EndpointLeaving:     {hclog.Info, "endpoint is leaving", adviceNone},
 	EndpointRemoved:     {hclog.Info, "endpoint's entry removed", adviceNone},
 	EndpointUnreadable:  {hclog.Warn, "endpoint's entry can't be read", "Find out who wrote the key. Until it is fixed, it lists no endpoint."},
+	EndpointKept:        {hclog.Info, "endpoint's entry is missing after an outage of the store, endpoint kept", "If the store had no outage, report the line."},
 	DatacentreWithdrawn: {hclog.Info, "data centre taken out of service", adviceNone},
 	DatacentreReturned:  {hclog.Info, "data centre returned to service", adviceNone},
 	GroupBroken:         {hclog.Warn, "group is broken", "Check the endpoint that is reported as failed."},
