Take a gap between two reads of the store for an outage only if calls have failed

Cause: entries that read the store through another one stop reading it themselves. When that one is cut from the store, they read again after 2.8 s, and took these 2.8 s (over 2.4 s) for an outage of the store, in which entries expire. So the missing endpoint was kept for relistGrace, 2 s more. The six new cases of TestMembers fail without the change (those with peers don't compile). TestEndpointIsKeptAfterOutage shows that endpoints are still kept after an outage.

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -65,6 +65,9 @@
 
 	mutex sync.Mutex
 	items map[string]platform.Item
+	// failing is set while calls to the store fail and no peer is known to have read it
+	// since.
+	failing bool
 }
 
 // SharedReaderFunc fetches what another entry has read from the store after a position. It
@@ -145,6 +148,7 @@
 		down = f.logStoreState(down, err)
 		delay := watchInterval - (elmclock.Now() - sent)
 		if err != nil {
+			f.recordFailure()
 			f.fetchFromPeers(ctx)
 			delay = retryDelay
 		}
@@ -152,6 +156,13 @@
 	}
 }
 
+// recordFailure records that a call to the store has failed.
+func (f *Follower) recordFailure() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.failing = true
+}
+
 // logSource logs that this process begins or ends to read through another entry, with
 // the age of the snapshot before.
 func (f *Follower) logSource(shared bool, before elmsnapshot.Snapshot) {
@@ -199,7 +210,7 @@
 	if !f.Snapshot().HasConfig() && position.Era > firstEra {
 		items = f.withLatestConfig(ctx, items)
 	}
-	f.apply(sent, position, items, true)
+	f.applyRead(sent, position, items, true)
 	return nil
 }
 
@@ -215,16 +226,21 @@
 		return platform.ErrEra
 	}
 	position.Revision = page.Revision
-	f.apply(sent, position, page.Items, false)
+	f.applyRead(sent, position, page.Items, false)
 	return nil
 }
 
-// apply updates the snapshot to a position. With full, items replace all earlier
-// items.
-func (f *Follower) apply(sent time.Duration, position elmsnapshot.Position, items []platform.Item, full bool) {
-	f.store.LearnEra(position.Era)
+// applyRead applies what this process has read from the store.
+func (f *Follower) applyRead(sent time.Duration, position elmsnapshot.Position, items []platform.Item, full bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.apply(elmsnapshot.Read{Sent: sent, Source: elmsnapshot.Direct{Failing: f.failing}, Position: position, Full: full}, items)
+}
+
+// apply updates the snapshot with a read and its items. The mutex must be held.
+func (f *Follower) apply(read elmsnapshot.Read, items []platform.Item) {
+	position := read.Position
+	f.store.LearnEra(position.Era)
 	snapshot := f.Snapshot()
 	if position.Before(snapshot.Position()) {
 		return
@@ -232,10 +248,10 @@
 	if known := snapshot.Position().Era; snapshot.HasConfig() && position.Era > known {
 		f.logger.Event(elmlog.StoreRestored, "era", position.Era, "revision", position.Revision, "known", snapshot.Position().Revision, "age", snapshot.Age(elmclock.Now()))
 	}
-	f.updateItems(items, full)
-	next, notices := snapshot.Update(elmsnapshot.Read{
-		Sent: sent, Received: elmclock.Now(), Position: position, Full: full, Changes: f.decodeChanges(items),
-	})
+	f.failing = false
+	f.updateItems(items, read.Full)
+	read.Received, read.Changes = elmclock.Now(), f.decodeChanges(items)
+	next, notices := snapshot.Update(read)
 	f.snapshot.Store(&next)
 	for _, n := range notices {
 		f.logNotice(n, next)
--- a/internal/forward/elmfollower/elmfollower_test.go
+++ b/internal/forward/elmfollower/elmfollower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -135,3 +136,21 @@
 		})
 	}
 }
+
+// Guards against endpoints that are dropped after an outage of the store, in which their
+// entries have expired and within 2 s after which they write them again.
+func TestEndpointIsKeptAfterOutage(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1)
+	g.cutReader()
+	g.store.RefuseWhen(func(*http.Request) bool { return true })
+	g.store.Delete("servers/a")
+	<-time.After(leaveDelay)
+	g.store.RefuseWhen(func(*http.Request) bool { return false })
+	entry := g.entries[0]
+	await(t, func() bool { return entry.Snapshot().Age(elmclock.Now()) < time.Second })
+	if members(entry) != "ab" {
+		t.Errorf("the entry knows %q right after the outage", members(entry))
+	}
+	await(t, func() bool { return members(entry) == "b" })
+}
--- a/internal/forward/elmfollower/peers.go
+++ b/internal/forward/elmfollower/peers.go
@@ -39,7 +39,11 @@
 	defer f.mutex.Unlock()
 	snapshot := f.Snapshot()
 	position := snapshot.Position()
-	s := &elmpeer.Snapshot{Era: position.Era, Revision: position.Revision, AgeMs: snapshot.Age(elmclock.Now()).Milliseconds()}
+	now := elmclock.Now()
+	s := &elmpeer.Snapshot{
+		Era: position.Era, Revision: position.Revision,
+		AgeMs: snapshot.Age(now).Milliseconds(), RelistMs: snapshot.RelistRemaining(now).Milliseconds(),
+	}
 	if !after.Before(position) {
 		return s
 	}
@@ -86,21 +90,21 @@
 // applyPeerSnapshot applies a snapshot that a peer sent for a requested position. If
 // it has no later position, it only confirms that nothing has changed.
 func (f *Follower) applyPeerSnapshot(s *elmpeer.Snapshot, sent time.Duration, after elmsnapshot.Position) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	if !after.Before(positionOf(s)) {
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
+		f.failing = false
 		next, _ := f.Snapshot().Update(elmsnapshot.Confirmed{Sent: sent})
 		f.snapshot.Store(&next)
 		return
 	}
-	f.apply(sent, positionOf(s), f.completeItems(s), true)
+	source := elmsnapshot.Peer{RelistFor: time.Duration(s.GetRelistMs()) * time.Millisecond}
+	f.apply(elmsnapshot.Read{Sent: sent, Source: source, Position: positionOf(s), Full: true}, f.completeItems(s))
 }
 
 // completeItems returns all items of a peer's snapshot: the changed ones that it
-// contains, and the known ones for its other keys.
+// contains, and the known ones for its other keys. The mutex must be held.
 func (f *Follower) completeItems(s *elmpeer.Snapshot) []platform.Item {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	items := maps.Clone(f.items)
 	for _, i := range s.GetItems() {
 		items[i.GetKey()] = itemOf(i)
--- a/internal/forward/elmsnapshot/elmsnapshot.go
+++ b/internal/forward/elmsnapshot/elmsnapshot.go
@@ -172,21 +172,45 @@
 	return s, nil
 }
 
+// relistAfter returns the time until which an endpoint may be missing only because of an
+// outage or a return of the store. A gap between two reads is no outage unless calls have
+// failed in it: while this process reads nothing, the store may be fine.
+func (s Snapshot) relistAfter(m Read) time.Duration {
+	received := max(m.Sent, m.Received)
+	switch source := m.Source.(type) {
+	case Peer:
+		return received + source.RelistFor
+	case Direct:
+		if s.returnedBy(m) || source.Failing && s.gapBefore(m) {
+			return received + relistGrace
+		}
+	}
+	return s.relistUntil
+}
+
+// returnedBy reports whether the store has returned from a copy before a read.
+func (s Snapshot) returnedBy(m Read) bool { return s.known && m.Position.Era > s.position.Era }
+
+// gapBefore reports whether the read before a read is so old that endpoints' entries may
+// have expired since.
+func (s Snapshot) gapBefore(m Read) bool { return s.known && m.Sent-s.sent > outageThreshold }
+
+// RelistRemaining returns for how much longer endpoints may be missing only because of the
+// last outage or return of the store.
+func (s Snapshot) RelistRemaining(now time.Duration) time.Duration {
+	return max(s.relistUntil-now, 0)
+}
+
 func (s Snapshot) read(m Read) (Snapshot, []Notice) {
 	if m.Position.Before(s.position) {
 		return s, nil
 	}
 	next := s
-	received := max(m.Sent, m.Received)
-	returned := s.known && m.Position.Era > s.position.Era
-	if returned {
-		next.retainUntil = received + retainTime
-	}
-	outage := s.known && m.Sent-s.sent > outageThreshold
-	if returned || outage {
-		next.relistUntil = received + relistGrace
+	if s.returnedBy(m) {
+		next.retainUntil = max(m.Sent, m.Received) + retainTime
 	}
-	afterOutage := outage || next.retains(m.Sent)
+	next.relistUntil = s.relistAfter(m)
+	afterOutage := s.gapBefore(m) || next.retains(m.Sent)
 	next.members, next.systemKeys = clone(s.members), clone(s.systemKeys)
 	next.withdrawn = clone(s.withdrawn)
 	if m.Full && !next.retains(m.Sent) {
--- a/internal/forward/elmsnapshot/elmsnapshot_test.go
+++ b/internal/forward/elmsnapshot/elmsnapshot_test.go
@@ -26,11 +26,23 @@
 }
 
 func full(sent time.Duration, revision int64, changes ...elmsnapshot.Change) elmsnapshot.Read {
-	return elmsnapshot.Read{Sent: sent, Position: elmsnapshot.Position{Revision: revision}, Full: true, Changes: changes}
+	return elmsnapshot.Read{Sent: sent, Source: elmsnapshot.Direct{}, Position: elmsnapshot.Position{Revision: revision}, Full: true, Changes: changes}
 }
 
 func incremental(sent time.Duration, revision int64, changes ...elmsnapshot.Change) elmsnapshot.Read {
-	return elmsnapshot.Read{Sent: sent, Position: elmsnapshot.Position{Revision: revision}, Changes: changes}
+	return elmsnapshot.Read{Sent: sent, Source: elmsnapshot.Direct{}, Position: elmsnapshot.Position{Revision: revision}, Changes: changes}
+}
+
+// failing is a read before which calls to the store had failed.
+func failing(r elmsnapshot.Read) elmsnapshot.Read {
+	r.Source = elmsnapshot.Direct{Failing: true}
+	return r
+}
+
+// fromPeer is a read of another process, which keeps missing endpoints for a time.
+func fromPeer(relistFor time.Duration, r elmsnapshot.Read) elmsnapshot.Read {
+	r.Source = elmsnapshot.Peer{RelistFor: relistFor}
+	return r
 }
 
 func inEra(era int64, r elmsnapshot.Read) elmsnapshot.Read {
@@ -109,17 +121,41 @@
 		members: "", lastResort: "",
 	},
 	"missing after an outage is kept until the relist grace ends": {
-		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), full(9*second, 6)}, at: 10 * second,
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), failing(full(9*second, 6))}, at: 10 * second,
 		members: "a", lastResort: "a",
 	},
 	"missing after an outage is removed after the relist grace": {
-		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), full(9*second, 6)}, at: 11 * second,
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), failing(full(9*second, 6))}, at: 11 * second,
 		members: "", lastResort: "",
 	},
 	"removal during an outage, reported by a watch afterwards": {
-		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), incremental(9*second, 6, elmsnapshot.Unlisted{ID: "a"})}, at: 10 * second,
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), failing(incremental(9*second, 6, elmsnapshot.Unlisted{ID: "a"}))}, at: 10 * second,
+		members: "a", lastResort: "a",
+	},
+	"missing after a gap between two reads is removed, since the store had no outage": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), full(9*second, 6)}, at: 9 * second,
+		members: "", lastResort: "",
+	},
+	"missing after failed calls for a short time is removed": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), failing(full(2*second, 6))}, at: 2 * second,
+		members: "", lastResort: "",
+	},
+	"missing in the read of a peer that saw no outage is removed": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), fromPeer(0, full(9*second, 6))}, at: 9 * second,
+		members: "", lastResort: "",
+	},
+	"missing in the read of a peer is kept as long as the peer keeps it": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), fromPeer(second, full(9*second, 6))}, at: 9900 * time.Millisecond,
 		members: "a", lastResort: "a",
 	},
+	"missing in the read of a peer is removed when the peer removes it": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), fromPeer(second, full(9*second, 6))}, at: 10 * second,
+		members: "", lastResort: "",
+	},
+	"era that a peer has known for longer": {
+		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), inEra(2, fromPeer(second, full(9*second, 6)))}, at: 10 * second,
+		members: "", lastResort: "",
+	},
 	"older read changes nothing": {
 		reads: []elmsnapshot.Read{full(0, 5, listed("a", false)), full(second, 4)}, at: second,
 		members: "a", lastResort: "a",
--- a/internal/forward/elmsnapshot/era_test.go
+++ b/internal/forward/elmsnapshot/era_test.go
@@ -44,7 +44,7 @@
 	if full && m.stored.withdrawn || !full && changed {
 		changes = append(changes, elmsnapshot.Withdrawn{Datacentre: "d-a", Withdrawn: m.stored.withdrawn})
 	}
-	next, _ := m.entries[entry].Update(elmsnapshot.Read{Sent: m.now, Received: m.now, Position: m.position, Full: full, Changes: changes})
+	next, _ := m.entries[entry].Update(elmsnapshot.Read{Sent: m.now, Received: m.now, Source: elmsnapshot.Direct{}, Position: m.position, Full: full, Changes: changes})
 	m.entries[entry] = next
 }
 
--- a/internal/forward/elmsnapshot/messages.go
+++ b/internal/forward/elmsnapshot/messages.go
@@ -18,6 +18,7 @@
 	Read struct {
 		Sent     time.Duration
 		Received time.Duration
+		Source   Source
 		Position Position
 		Full     bool
 		Changes  []Change
@@ -30,6 +31,22 @@
 func (Read) message()      {}
 func (Confirmed) message() {}
 
+// Source is where a Read comes from. It decides what the snapshot knows of outages of the
+// store.
+type Source interface{ source() }
+
+type (
+	// Direct is the store itself. Failing means that calls to it have failed since the
+	// last Read.
+	Direct struct{ Failing bool }
+	// Peer is another process that has read the store. RelistFor is its
+	// Snapshot.RelistRemaining.
+	Peer struct{ RelistFor time.Duration }
+)
+
+func (Direct) source() {}
+func (Peer) source()   {}
+
 // Change is the write or removal of one key of the store.
 type Change interface{ change() }
 
