Read the store again within two seconds after a shared reader is cut from it

A change is known after elmfollower.MaxSharedDelay, 2.05 s, and where drainMs or configMs allow less, each entry reads the store itself. CONFIG had the same cause.

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -31,6 +31,12 @@
 	// watchTimeout is how long a watch waits for a change. An empty response shows
 	// that nothing has changed, which keeps the age of the snapshot low.
 	watchTimeout = 1200 * time.Millisecond
+	// relayedWatchTimeout is the watchTimeout of a process that reads the store for others,
+	// which learn of a cut between it and the store from the age of its snapshot only.
+	relayedWatchTimeout = 600 * time.Millisecond
+	// relayingTime is how long a process counts as one that reads the store for others
+	// after one of them has fetched its snapshot.
+	relayingTime = time.Second
 	// fullReadInterval is the time after which all keys are read again, in case a
 	// watch has missed a change.
 	fullReadInterval = 15 * time.Second
@@ -39,9 +45,14 @@
 	// sharedReadInterval is the time between two fetches from the entry that reads
 	// the store for this one.
 	sharedReadInterval = 300 * time.Millisecond
-	// maxSharedAge is the snapshot age from which on this process reads the store
-	// itself: a little more than the duration of two watches.
-	maxSharedAge = 2800 * time.Millisecond
+	// maxSharedAge is the age of the other entry's snapshot from which on this process reads
+	// the store itself: a little more than the duration of two of the other's watches.
+	maxSharedAge = 1500 * time.Millisecond
+	// ownReadReserve is the time for a read of the store by this process.
+	ownReadReserve = 250 * time.Millisecond
+	// MaxSharedDelay is the time after a change within which a process that reads the store
+	// through another one knows the change, also if the other one is cut from the store.
+	MaxSharedDelay = maxSharedAge + sharedReadInterval + ownReadReserve
 	// maxReadDelay bounds the random delay before all keys are read again, since all
 	// entries lose their position in the store's history at once.
 	maxReadDelay = 200 * time.Millisecond
@@ -63,6 +74,9 @@
 	reader   SharedReaderFunc
 	snapshot atomic.Pointer[elmsnapshot.Snapshot]
 
+	// relayedAt is the last time at which another process fetched the snapshot.
+	relayedAt atomic.Int64
+
 	mutex sync.Mutex
 	items map[string]platform.Item
 	// failing is set while calls to the store fail and no peer is known to have read it
@@ -218,7 +232,7 @@
 // new era, in which the revision means another state.
 func (f *Follower) watch(ctx context.Context, sent time.Duration) error {
 	position := f.Snapshot().Position()
-	page, err := f.store.Watch(ctx, "", position.Revision, watchTimeout)
+	page, err := f.store.Watch(ctx, "", position.Revision, f.watchTimeout())
 	if err != nil {
 		return err
 	}
@@ -230,6 +244,15 @@
 	return nil
 }
 
+// watchTimeout returns how long the next watch waits for a change.
+func (f *Follower) watchTimeout() time.Duration {
+	relayedAt := time.Duration(f.relayedAt.Load())
+	if relayedAt > 0 && elmclock.Now()-relayedAt < relayingTime {
+		return relayedWatchTimeout
+	}
+	return watchTimeout
+}
+
 // applyRead applies what this process has read from the store.
 func (f *Follower) applyRead(sent time.Duration, position elmsnapshot.Position, items []platform.Item, full bool) {
 	f.mutex.Lock()
--- a/internal/forward/elmfollower/peers.go
+++ b/internal/forward/elmfollower/peers.go
@@ -14,7 +14,8 @@
 )
 
 // readShared applies what another entry has read. It returns false if there is no
-// such entry or its snapshot is too old; this process then reads the store itself.
+// such entry or its snapshot is too old, however new that of this process is; this process
+// then reads the store itself.
 func (f *Follower) readShared(ctx context.Context) bool {
 	before := f.Snapshot()
 	if !before.HasConfig() {
@@ -29,12 +30,13 @@
 	if sent > before.Sent() {
 		f.applyPeerSnapshot(s, sent, before.Position())
 	}
-	return f.Snapshot().Age(elmclock.Now()) < maxSharedAge
+	return elmclock.Now()-sent < maxSharedAge
 }
 
 // PeerSnapshot returns for peers what was read after a position. Of another era it
 // returns everything.
 func (f *Follower) PeerSnapshot(after elmsnapshot.Position) *elmpeer.Snapshot {
+	f.relayedAt.Store(int64(elmclock.Now()))
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	snapshot := f.Snapshot()
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/forward/elmfollower"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
@@ -91,8 +92,11 @@
 
 // storeReader returns the address of the entry that reads the store for this one,
 // or "" if this entry reads the store itself. In a data centre with enough
-// entries, the first by name reads for all.
+// entries, the first by name reads for all, unless changes would then be known too late.
 func (r *Router) storeReader() string {
+	if min(r.settings.Bounds.LeaveDelay, r.settings.Bounds.ConfigDelay) <= elmfollower.MaxSharedDelay {
+		return ""
+	}
 	local, _ := r.otherEntries()
 	if len(local)+1 < minSharedReadEntries || local[0].name > r.settings.Instance {
 		return ""
