Give the response of a kept connection to a request only if it names the request

Cause: a response that names no attempt counted as the response to the pending request, also on a connection that had carried others; and a caller that repeats its attempt could meet the connection that carried it before, on which an earlier refusal names the pending attempt. Fix: ownerOf decides to which request a response belongs. Without a name it belongs to the only request of its connection, or to nobody knows whom: then the outcome is unknown. No caller is known to have met it.

--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -19,6 +19,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,9 @@
 	// ErrNoResponse reports that a request was sent, at least in part, but has no
 	// usable response.
 	ErrNoResponse = errors.New("exchange: no usable response")
+	// errUnidentified reports a response that may belong to the pending request or to an
+	// earlier one on its connection.
+	errUnidentified = errors.New("response names no attempt on a reused connection")
 )
 
 const (
@@ -81,9 +85,7 @@
 // safe for concurrent use.
 type Client struct {
 	attemptOf func(http.Header) string
-	// identifies means that responses name their attempt.
-	identifies bool
-	opened     func(address string)
+	opened    func(address string)
 
 	mutex sync.Mutex
 	idle  map[string][]*conn
@@ -93,10 +95,9 @@
 type Option func(*Client)
 
 // WithAttemptOf sets the function that reads from the headers of a response the
-// attempt that it belongs to. If it returns "", the response is taken as the
-// response to the pending request, and its connection is not reused.
+// attempt that it belongs to. It returns "" if they name none.
 func WithAttemptOf(attemptOf func(http.Header) string) Option {
-	return func(cl *Client) { cl.attemptOf, cl.identifies = attemptOf, true }
+	return func(cl *Client) { cl.attemptOf = attemptOf }
 }
 
 // WithOpened sets a function that is called for each new connection.
@@ -127,6 +128,8 @@
 	inHead    bool
 	address   string
 	expires   time.Time
+	// carried holds the attempts of all requests that were sent on the connection.
+	carried []string
 }
 
 // Read reads from the connection, with a limit while a head is read.
@@ -145,10 +148,11 @@
 // Do sends a request and reads the head of its response. The context bounds the
 // complete exchange, including the body of the response.
 func (cl *Client) Do(ctx context.Context, address string, r Request) (*Response, error) {
-	c, err := cl.idleOrDial(ctx, address)
+	c, err := cl.idleOrDial(ctx, address, r.Attempt)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
+	c.carried = append(c.carried, r.Attempt)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	sent := make(chan error, 1)
 	if err = send(c, r, sent); err != nil {
@@ -221,12 +225,15 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		attempt := cl.attemptOf(response.Header)
-		if attempt == "" && cl.identifies {
-			c.expires = time.Time{} // A late copy of the response could not be told from the next one.
+		owner := c.ownerOf(cl.attemptOf(response.Header), r.Attempt)
+		if owner != ownerIdentified {
+			c.expires = time.Time{} // Another response to this request may follow.
 		}
-		if attempt == "" || attempt == r.Attempt {
+		switch owner {
+		case ownerIdentified, ownerOnly:
 			return response, nil
+		case ownerUnknown:
+			return nil, errUnidentified
 		}
 		strays++
 		if strays > maxStrayResponses {
@@ -235,13 +242,13 @@
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, fmt.Errorf("skip response to another request: %w", err)
 		}
-		c.expires = time.Time{} // The connection must not be reused.
 	}
 }
 
-// idleOrDial returns an idle connection to the address or dials a new one.
-func (cl *Client) idleOrDial(ctx context.Context, address string) (*conn, error) {
-	if c := cl.takeIdle(address); c != nil {
+// idleOrDial returns an idle connection to the address that has not carried the attempt,
+// or dials a new one.
+func (cl *Client) idleOrDial(ctx context.Context, address, attempt string) (*conn, error) {
+	if c := cl.takeIdle(address, attempt); c != nil {
 		return c, nil
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: elmsocket.UserTimeout(unackedTimeout)}
@@ -266,19 +273,24 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// takeIdle removes and returns a reusable idle connection, or nil if there is none.
-func (cl *Client) takeIdle(address string) *conn {
+// takeIdle removes and returns a reusable idle connection that has not carried the attempt,
+// or nil if there is none.
+func (cl *Client) takeIdle(address, attempt string) *conn {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
-	for list := cl.idle[address]; len(list) > 0; list = cl.idle[address] {
-		c := list[len(list)-1]
-		cl.idle[address] = list[:len(list)-1]
+	for {
+		list := cl.idle[address]
+		i := lastUsable(list, attempt)
+		if i < 0 {
+			return nil
+		}
+		c := list[i]
+		cl.idle[address] = slices.Delete(list, i, i+1)
 		if time.Now().Before(c.expires) && c.isReusable() {
 			return c
 		}
 		_ = c.Close()
 	}
-	return nil
 }
 
 // putIdle keeps a connection for reuse. The oldest one is closed if there are too
