Break a stream off at bytes that are no event, and decide in one place when it is whole

Cause: where its connection marks the end of a stream, or a faulty endpoint frames an error as a chunk, the bytes behind the last event count as an event as soon as a blank line follows. Fix: all lines of an event are comments or fields, whose names are single words; anything else breaks the stream off, and it is continued at the next endpoint or aborted. elmevents.Reader, which both paths use now, returns io.EOF for a whole stream only. No caller is known to have met it. Not decidable, and so open: bytes behind a plain body without length or chunks.

--- /dev/null
+++ b/internal/agent/elmendpointclient/cut_test.go
@@ -0,0 +1,105 @@
+package elmendpointclient_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/elmcove/elmcove/internal/agent/elmendpointclient"
+	"github.com/elmcove/elmcove/internal/wire/elmwire"
+)
+
+// serveText answers each request with a text and closes the connection.
+func serveText(t *testing.T, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, text)
+			}
+			_ = c.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// Guards against a response that breaks off in its head, or in a body that marks its end,
+// and counts as whole.
+func TestCutResponseIsNotWhole(t *testing.T) {
+	for name, response := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nhi",
+		"chunks": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"close":  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhi",
+		"stream": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: hi\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			body := strings.Index(response, "\r\n\r\n") + 4
+			for n := range response {
+				if n > body && name == "close" || n == body && name == "stream" {
+					continue // The end of the connection is the end of the body.
+				}
+				client := elmendpointclient.New(serveText(t, response[:n]))
+				var got recorder
+				_, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/orders", Once: true}, &got)
+				client.Close()
+				if err == nil && !(name == "close" && n == body) {
+					t.Errorf("whole after %d bytes: %q", n, response[:n])
+				}
+			}
+		})
+	}
+}
+
+// Guards against the text of an error, or the head of another response, that reaches a
+// caller in the middle of a stream.
+func TestErrorIsNoPartOfStream(t *testing.T) {
+	const head, event = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n", "data: a\n\n"
+	for name, response := range map[string]string{
+		"response behind a stream that its connection ends": head + "\r\n" + event + "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull",
+		"text behind it":                         head + "\r\n" + event + "upstream failed: try again\n\n",
+		"text without a blank line":              head + "\r\n" + event + "upstream failed",
+		"response in the place of a chunk":       head + "Transfer-Encoding: chunked\r\n\r\n9\r\n" + event + "\r\nHTTP/1.1 503 Service Unavailable\r\n\r\n",
+		"response as a chunk":                    head + "Transfer-Encoding: chunked\r\n\r\n9\r\n" + event + "\r\n22\r\nHTTP/1.1 503 Service Unavailable\r\n\r\n\r\n0\r\n\r\n",
+		"response within the length of a stream": head + "Content-Length: 43\r\n\r\n" + event + "HTTP/1.1 503 Service Unavailable\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := elmendpointclient.New(serveText(t, response))
+			defer client.Close()
+			var got recorder
+			_, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/log", Once: true}, &got)
+			if err == nil || got.body.String() != event {
+				t.Errorf("error %v, body %q", err, got.body.String())
+			}
+		})
+	}
+}
+
+// Guards against an earlier refusal that an engine writes once more and that counts as the
+// response to the next request, or as a request that has not run.
+func TestEarlierRefusalReachesNobody(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	client := elmendpointclient.New(serveText(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"+refusal))
+	defer client.Close()
+	for range 5 {
+		var got recorder
+		reply, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/orders", Once: true}, &got)
+		if err != nil || reply.Status != http.StatusOK || got.body.String() != "hi" {
+			t.Errorf("status %d, error %v, body %q", reply.Status, err, got.body.String())
+		}
+	}
+}
--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -172,13 +172,12 @@
 	if err := sink.Head(&elmwire.Head{Status: reply.Status, Media: reply.Media}); err != nil {
 		return reply, err
 	}
-	buffer := make([]byte, chunkBytes)
-	var last time.Time
 	var splitter elmevents.Splitter
+	reader := elmevents.NewReader(body, &splitter, splitter.Split)
+	var last time.Time
 	markSeen := false
 	for {
-		n, readErr := body.Read(buffer)
-		events := splitter.Split(buffer[:n])
+		events, readErr := reader.Next()
 		if len(events) > 0 {
 			now := time.Now()
 			step := elapsedSince(last, now)
@@ -189,29 +188,17 @@
 				return reply, err
 			}
 		}
-		if err := splitter.Err(); err != nil {
-			return reply, fmt.Errorf("%w: %w", ErrEndpoint, err)
-		}
-		if errors.Is(readErr, io.EOF) {
-			return reply, streamEnd(&splitter, marked && !markSeen)
-		}
-		if readErr != nil {
+		switch {
+		case errors.Is(readErr, io.EOF) && marked && !markSeen:
+			return reply, fmt.Errorf("%w: stream ended without %s", ErrEndpoint, endMark)
+		case errors.Is(readErr, io.EOF):
+			return reply, nil
+		case readErr != nil:
 			return reply, fmt.Errorf("%w: %w", ErrEndpoint, readErr)
 		}
 	}
 }
 
-// streamEnd returns an error if a stream that has ended is incomplete.
-func streamEnd(splitter *elmevents.Splitter, markMissing bool) error {
-	if _, err := splitter.End(); err != nil {
-		return fmt.Errorf("%w: %w", ErrEndpoint, err)
-	}
-	if markMissing {
-		return fmt.Errorf("%w: stream ended without %s", ErrEndpoint, endMark)
-	}
-	return nil
-}
-
 // hasEndMark reports whether one of the events is the end mark.
 func hasEndMark(events []byte) bool {
 	isLineEnding := func(r rune) bool { return r == '\r' || r == '\n' }
--- a/internal/forward/elmexchange/owner_test.go
+++ b/internal/forward/elmexchange/owner_test.go
@@ -92,8 +92,8 @@
 			"names the earlier one late": {repeater: repeater{late: 50 * time.Millisecond}, again: "For: 1", second: "2"},
 			"names the pending attempt, which the connection carried before": {again: "For: 1", second: "1"},
 			"names none, the pending attempt was carried before":             {again: "X: y", second: "1"},
-			"arrives before the next request":                               {repeater: repeater{early: true}, second: "2"},
-			"request without an attempt":                                    {again: "X: y", second: ""},
+			"arrives before the next request":                                {repeater: repeater{early: true}, second: "2"},
+			"request without an attempt":                                     {again: "X: y", second: ""},
 		} {
 			t.Run(name+", "+framing, func(t *testing.T) {
 				t.Parallel()
--- a/internal/forward/elmexchange/response.go
+++ b/internal/forward/elmexchange/response.go
@@ -18,6 +18,8 @@
 	stop     func() bool
 	sent     <-chan error
 	ended    bool
+	received int
+	buffer   []byte
 }
 
 // Framing is how a response marks the end of its body.
@@ -50,10 +52,27 @@
 // is framed by close, io.EOF means only that the connection was not reset.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
+	r.received += n
 	r.ended = r.ended || err == io.EOF //nolint:errorlint // Readers return io.EOF itself.
 	return n, err
 }
 
+// partSize is the longest part in bytes that Next returns.
+const partSize = 8 << 10
+
+// Next returns the next part of the body, which is valid until the next call. Its error is
+// that of Read.
+func (r *Response) Next() ([]byte, error) {
+	if r.buffer == nil {
+		r.buffer = make([]byte, partSize)
+	}
+	n, err := r.Read(r.buffer)
+	return r.buffer[:n], err
+}
+
+// Received returns the number of bytes of the body that were read.
+func (r *Response) Received() int { return r.received }
+
 const (
 	// maxDiscardedBytes and discardTimeout bound what is read of a body that is not
 	// used. Beyond them the connection is not reused.
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -36,9 +36,6 @@
 	retryDeadlineRatio = 0.9
 	// maxQueuePriority is the last position in an endpoint's queue.
 	maxQueuePriority = 9
-	// copyBufferSize is the size in bytes of the chunks in which response bodies
-	// are forwarded.
-	copyBufferSize = 8 << 10
 )
 
 // delivery executes the commands of one request's lifecycle.
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -64,42 +64,27 @@
 }
 
 // copyBody forwards the body: streams as complete events as soon as they arrive,
-// other bodies as they are.
+// other bodies as they are. It returns nil if the body is whole.
 func (d *delivery) copyBody(events bool) error {
-	buffer := make([]byte, copyBufferSize)
+	defer func() { d.received = d.response.Received() }()
+	next := d.response.Next
+	if events {
+		next = elmevents.NewReader(d.response, &d.splitter, d.splitter.Feed).Next
+	}
 	for {
-		n, err := d.response.Read(buffer)
-		d.received += n
-		part := buffer[:n]
-		if events {
-			part = d.splitter.Feed(part)
-		}
+		part, err := next()
 		if writeErr := d.writePart(part, events); writeErr != nil {
 			return writeErr
 		}
-		switch {
-		case errors.Is(err, io.EOF) && events:
-			return d.endStream()
-		case errors.Is(err, io.EOF):
+		if errors.Is(err, io.EOF) {
 			return nil
-		case err != nil:
+		}
+		if err != nil {
 			return err
-		case d.splitter.Err() != nil:
-			return d.splitter.Err()
 		}
 	}
 }
 
-// endStream forwards the comments after the last event, or returns an error if the
-// stream ended inside an event.
-func (d *delivery) endStream() error {
-	rest, err := d.splitter.End()
-	if err != nil {
-		return err
-	}
-	return d.writePart(rest, true)
-}
-
 // writePart writes a part of the body to the caller and flushes events at once.
 func (d *delivery) writePart(part []byte, events bool) error {
 	if len(part) == 0 {
--- a/internal/wire/elmevents/elmevents.go
+++ b/internal/wire/elmevents/elmevents.go
@@ -1,13 +1,19 @@
-// Package elmevents splits a stream of server-sent events, so that the router forwards
-// only complete events and can resume a stream at another endpoint.
+// Package elmevents splits a stream of server-sent events, so that only complete events
+// are forwarded and a stream can be resumed at another endpoint. It decides where a stream
+// ends: a stream is whole only if its response ends, as its framing says, after a complete
+// event. Bytes that are no events, such as another response behind a stream whose
+// connection marks its end, break the stream off.
 //
 // # Usage
 //
 //	var splitter elmevents.Splitter
-//	events := splitter.Feed(bytes)
-//	err := splitter.Err()
+//	reader := elmevents.NewReader(body, &splitter, splitter.Feed)
+//	for {
+//		events, err := reader.Next()
+//		forward(events)
+//		if errors.Is(err, io.EOF) { /* whole */ }
+//	}
 //	last := splitter.LastID()
-//	rest, err := splitter.End()
 package elmevents
 
 import (
@@ -23,6 +29,9 @@
 // ErrTooLong reports an event that is longer than MaxEventBytes.
 var ErrTooLong = errors.New("event is too long")
 
+// ErrMalformed reports a stream with bytes that are no event.
+var ErrMalformed = errors.New("stream has bytes that are no event")
+
 // MaxEventBytes is the longest event that is buffered.
 const MaxEventBytes = 128 << 10
 
@@ -39,6 +48,7 @@
 type Splitter struct {
 	pending []byte
 	last    string
+	err     error
 }
 
 // Split adds the next bytes of the stream and returns the events that are now complete.
@@ -46,6 +56,10 @@
 	s.pending = append(s.pending, part...)
 	complete := 0
 	for end := eventEnd(s.pending); end > 0; end = eventEnd(s.pending[complete:]) {
+		if !isEvent(s.pending[complete : complete+end]) {
+			s.err = ErrMalformed
+			break
+		}
 		complete += end
 	}
 	events := s.pending[:complete]
@@ -80,12 +94,13 @@
 	return s.pending, nil
 }
 
-// Err returns ErrTooLong if the incomplete event is too long to be buffered.
+// Err returns ErrMalformed if what follows the last event is none, and ErrTooLong if the
+// incomplete event is too long to be buffered.
 func (s *Splitter) Err() error {
-	if len(s.pending) > MaxEventBytes {
+	if s.err == nil && len(s.pending) > MaxEventBytes {
 		return ErrTooLong
 	}
-	return nil
+	return s.err
 }
 
 // LastID returns the identifier of the last complete event, or "".
@@ -96,7 +111,7 @@
 
 // DropPending drops the incomplete event, so that the stream of another endpoint can
 // follow.
-func (s *Splitter) DropPending() { s.pending = nil }
+func (s *Splitter) DropPending() { s.pending, s.err = nil, nil }
 
 // advance stores an identifier as the last one, unless both are numbers and it is not
 // above the last one. It reports whether the identifier was stored.
@@ -126,6 +141,29 @@
 	return 0
 }
 
+// byteOrderMark may begin a stream.
+const byteOrderMark = "\ufeff"
+
+// isEvent reports whether all lines of an event are comments or fields. Fields of unknown
+// names are allowed, but a name has only letters, digits, hyphens and underscores, so that
+// neither the head of a response nor a text of several words counts as an event.
+func isEvent(event []byte) bool {
+	event = bytes.TrimPrefix(event, []byte(byteOrderMark))
+	isLineEnding := func(r rune) bool { return r == '\r' || r == '\n' }
+	for _, line := range bytes.FieldsFunc(event, isLineEnding) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.ContainsFunc(name, func(r rune) bool { return !isNameRune(r) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// isNameRune reports whether the name of a field may contain a character.
+func isNameRune(r rune) bool {
+	return 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || r == '-' || r == '_'
+}
+
 // firstLine returns the lengths of the first line without and with its line ending,
 // which is CR LF, LF or CR. Both are 0 if no line is complete.
 func firstLine(stream []byte) (content, length int) {
