--- a/cmd/elmsoak/main.go
+++ b/cmd/elmsoak/main.go
@@ -21,6 +21,7 @@
 	bin := flag.String("bin", "bin", "folder with the programs")
 	seed := flag.Uint64("seed", 1, "first seed")
 	seeds := flag.Uint64("seeds", 1, "number of seeds")
+	entries := flag.Int("entries", 3, "number of entries; from 5 on one reads the store for all")
 	length := flag.Duration("length", 12*time.Second, "duration of the faults for each seed")
 	kinds := flag.String("kinds", "", "kinds of faults to draw, such as copies,restarts; all if empty")
 	logs := flag.String("logs", "", "folder that keeps the logs of entries of runs with violations; none if empty")
@@ -31,7 +32,7 @@
 	if *recovery != "" {
 		err = measureRecovery(*bin, *recovery)
 	} else {
-		broken, err = run(elmsoak.Plan{Bin: *bin, Seed: *seed, Length: *length, Kinds: fields(*kinds), Logs: *logs}, *seeds)
+		broken, err = run(elmsoak.Plan{Bin: *bin, Seed: *seed, Entries: *entries, Length: *length, Kinds: fields(*kinds), Logs: *logs}, *seeds)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "elmsoak:", err)
