--- a/internal/command/elmcommand/onplatform.go
+++ b/internal/command/elmcommand/onplatform.go
@@ -4,13 +4,16 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"sync"
 	"syscall"
 
 	"github.com/elmcove/elmcove/internal/expert/elmrankagent"
+	"github.com/elmcove/elmcove/internal/forward/elmfollower"
 	"github.com/elmcove/elmcove/internal/forward/elmrouter"
+	"github.com/elmcove/elmcove/internal/observe/elmages"
 	"github.com/elmcove/elmcove/internal/observe/elmcause"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmsink"
@@ -61,23 +64,44 @@
 		usage: "cause [-log FILE] REQUEST", args: 1,
 		flags: func(f *flag.FlagSet) { f.StringVar(&path, "log", path, "log file, or - for standard input") },
 		run: func(_ context.Context, args []string) error {
-			log := os.Stdin
-			if path != "-" {
-				file, err := os.Open(path)
-				if err != nil {
-					return err
-				}
-				defer file.Close() //nolint:errcheck // The file is only read.
-				log = file
-			}
-			history, err := elmcause.Read(log, args[0])
-			if err != nil {
-				return err
-			}
-			fmt.Print(history)
-			return nil
+			return explain(path, func(log io.Reader) (fmt.Stringer, error) { return elmcause.Read(log, args[0]) })
+		},
+	}
+}
+
+// agesCommand returns a command that shows from logs when entries worked with old state.
+func agesCommand() *command {
+	path, limit := "-", elmfollower.MaxSharedDelay
+	return &command{
+		name: "ages", synopsis: "Shows from the logs of entries when they worked with platform state older than a limit.",
+		usage: "ages [-log FILE] [-over DURATION]",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&path, "log", path, "log file, or - for standard input")
+			f.DurationVar(&limit, "over", limit, "age of the platform state")
 		},
+		run: func(context.Context, []string) error {
+			return explain(path, func(log io.Reader) (fmt.Stringer, error) { return elmages.Read(log, limit) })
+		},
+	}
+}
+
+// explain prints what read finds in a log file, or in the standard input if the path is -.
+func explain(path string, read func(io.Reader) (fmt.Stringer, error)) error {
+	log := os.Stdin
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer file.Close() //nolint:errcheck // The file is only read.
+		log = file
+	}
+	found, err := read(log)
+	if err != nil {
+		return err
 	}
+	fmt.Print(found)
+	return nil
 }
 
 // processCommand returns a command that runs a process on the users' platform.
