--- a/internal/agent/elmendpointclient/cut_test.go
+++ b/internal/agent/elmendpointclient/cut_test.go
@@ -1,39 +1,30 @@
 package elmendpointclient_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/elmcove/elmcove/internal/agent/elmendpointclient"
+	"github.com/elmcove/elmcove/internal/stand/elmscript"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
-// serveText answers each request with a text and closes the connection.
-func serveText(t *testing.T, text string) string {
+// serveText starts an endpoint that answers each request with a text and closes the
+// connection.
+func serveText(t *testing.T, text string) *elmendpointclient.Client {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	addresses, err := elmscript.Serve(t.Context(), 1, func(x elmscript.Exchange) bool {
+		_, _ = io.WriteString(x, text)
+		return false
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, text)
-			}
-			_ = c.Close()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	client := elmendpointclient.New("http://" + addresses[0])
+	t.Cleanup(client.Close)
+	return client
 }
 
 // Guards against a response that breaks off in its head, or in a body that marks its end,
@@ -52,10 +43,9 @@
 				if n > body && name == "close" || n == body && name == "stream" {
 					continue // The end of the connection is the end of the body.
 				}
-				client := elmendpointclient.New(serveText(t, response[:n]))
+				client := serveText(t, response[:n])
 				var got recorder
 				_, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/orders", Once: true}, &got)
-				client.Close()
 				if err == nil && !(name == "close" && n == body) {
 					t.Errorf("whole after %d bytes: %q", n, response[:n])
 				}
@@ -78,8 +68,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			client := elmendpointclient.New(serveText(t, response))
-			defer client.Close()
+			client := serveText(t, response)
 			var got recorder
 			_, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/log", Once: true}, &got)
 			if err == nil || got.body.String() != event {
@@ -93,8 +82,7 @@
 // response to the next request, or as a request that has not run.
 func TestEarlierRefusalReachesNobody(t *testing.T) {
 	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
-	client := elmendpointclient.New(serveText(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"+refusal))
-	defer client.Close()
+	client := serveText(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"+refusal)
 	for range 5 {
 		var got recorder
 		reply, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/orders", Once: true}, &got)
--- a/internal/forward/elmrouter/response_test.go
+++ b/internal/forward/elmrouter/response_test.go
@@ -1,147 +1,98 @@
 package elmrouter_test
 
 import (
-	"bufio"
-	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
-)
 
-// script writes the response to the n-th request that reaches its endpoints, and reports
-// whether the connection stays open.
-type script func(w io.Writer, n int, attempt string) bool
+	"github.com/elmcove/elmcove/internal/stand/elmscript"
+)
 
 // addScripted starts endpoints that share a script.
-func (f *fixture) addScripted(s script, ids ...string) {
+func (f *fixture) addScripted(script func(elmscript.Exchange) bool, ids ...string) {
 	f.t.Helper()
-	var mutex sync.Mutex
-	requests := 0
-	serve := func(c net.Conn) {
-		defer c.Close() //nolint:errcheck // The connection is no longer needed.
-		reader := bufio.NewReader(c)
-		for {
-			r, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			mutex.Lock()
-			requests++
-			open := s(c, requests, r.Header.Get("Attempt-Id"))
-			mutex.Unlock()
-			if !open {
-				return
-			}
-		}
+	addresses, err := elmscript.Serve(f.t.Context(), len(ids), script)
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	for _, id := range ids {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		f.t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			for {
-				c, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go serve(c)
-			}
-		}()
-		f.addresses[id] = listener.Addr().String()
+	for i, id := range ids {
+		f.addresses[id] = addresses[i]
 		f.listEndpoint(id, "ready")
 	}
 	f.eventually("listed", func() bool { return strings.Count(f.log.String(), `"endpoint listed"`) >= len(ids) })
 }
 
-// responseTo returns a response that names an attempt, with further lines of its head.
-func responseTo(attempt, status, body string, lines ...string) string {
-	head := "HTTP/1.1 " + status + "\r\nAttempt-Id: " + attempt + "\r\n"
-	for _, l := range lines {
-		head += l + "\r\n"
-	}
-	return head + "\r\n" + body
-}
-
 const (
 	sealLine   = "Response-Seal: seal-e"
 	streamLine = "Content-Type: text/event-stream"
 	chunkLine  = "Transfer-Encoding: chunked"
 	// firstEvents are the events before a stream breaks off.
 	firstEvents = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n"
+	errorText   = "engine failed: out of memory\n\n"
 )
 
-// chunk returns a text as one chunk.
-func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+// stream returns a response with a stream that has a seal, in chunks or as further lines
+// of the head say.
+func stream(body string, lines ...string) string {
+	return elmscript.Response("200 OK", body, append(lines, attemptLine, sealLine, streamLine)...)
+}
+
+// attemptLine stands for the header that names the attempt.
+const attemptLine = "Attempt-Id: ATTEMPT"
+
+// refusal is a refusal of the pending attempt.
+var refusal = elmscript.Response("503 Service Unavailable", "full", attemptLine, "Not-Executed: 1", "Content-Length: 4")
 
 // brokenStreams are responses of the first endpoint, by how the stream breaks off.
-var brokenStreams = map[string]func(attempt string) string{
-	"chunk missing": func(attempt string) string {
-		return responseTo(attempt, "200 OK", chunk(firstEvents), sealLine, streamLine, chunkLine)
-	},
-	"inside an event": func(attempt string) string {
-		return responseTo(attempt, "200 OK", firstEvents+"id: 3\nda", sealLine, streamLine)
-	},
-	"shorter than its length": func(attempt string) string {
-		return responseTo(attempt, "200 OK", firstEvents, sealLine, streamLine, "Content-Length: 500")
-	},
-	"followed by a response": func(attempt string) string {
-		return responseTo(attempt, "200 OK", firstEvents, sealLine, streamLine) + responseTo(attempt, "500 Internal Server Error", "boom", sealLine, "Content-Length: 4")
-	},
-	"followed by a text": func(attempt string) string {
-		return responseTo(attempt, "200 OK", firstEvents+"engine failed: out of memory\n\n", sealLine, streamLine)
-	},
-	"response in the place of a chunk": func(attempt string) string {
-		return responseTo(attempt, "200 OK", chunk(firstEvents), sealLine, streamLine, chunkLine) + responseTo(attempt, "503 Service Unavailable", "")
-	},
-	"response as a chunk": func(attempt string) string {
-		return responseTo(attempt, "200 OK", chunk(firstEvents)+chunk("HTTP/1.1 503 Service Unavailable\r\n\r\n")+"0\r\n\r\n", sealLine, streamLine, chunkLine)
-	},
+var brokenStreams = map[string]string{
+	"chunk missing":                    stream(elmscript.Chunk(firstEvents), chunkLine),
+	"inside an event":                  stream(firstEvents + "id: 3\nda"),
+	"shorter than its length":          stream(firstEvents, "Content-Length: 500"),
+	"followed by a response":           stream(firstEvents) + elmscript.Response("500 Internal Server Error", "boom", attemptLine, sealLine, "Content-Length: 4"),
+	"followed by a text":               stream(firstEvents + errorText),
+	"response in the place of a chunk": stream(elmscript.Chunk(firstEvents), chunkLine) + refusal,
+	"response as a chunk":              stream(elmscript.Chunk(firstEvents)+elmscript.Chunk(refusal)+elmscript.Chunk(""), chunkLine),
 }
 
 // failedContinuations are responses of the second endpoint, to which the stream moves.
-var failedContinuations = map[string]func(attempt string) string{
-	"error with length": func(attempt string) string {
-		return responseTo(attempt, "500 Internal Server Error", "boom", sealLine, "Content-Length: 4")
-	},
-	"error in chunks": func(attempt string) string {
-		return responseTo(attempt, "502 Bad Gateway", chunk("boom")+"0\r\n\r\n", sealLine, chunkLine)
-	},
-	"error that its connection ends": func(attempt string) string {
-		return responseTo(attempt, "500 Internal Server Error", "boom", sealLine)
-	},
-	"error as an event stream": func(attempt string) string {
-		return responseTo(attempt, "500 Internal Server Error", "id: 3\ndata: boom\n\n", sealLine, streamLine)
-	},
-	"plain text": func(attempt string) string {
-		return responseTo(attempt, "200 OK", "boom", sealLine, "Content-Type: text/plain", "Content-Length: 4")
-	},
-	"text as an event stream": func(attempt string) string {
-		return responseTo(attempt, "200 OK", "engine failed: out of memory\n\n", sealLine, streamLine)
-	},
-	"stream without a seal": func(attempt string) string { return responseTo(attempt, "200 OK", "id: 3\ndata: boom\n\n", streamLine) },
-	"refusal": func(attempt string) string {
-		return responseTo(attempt, "503 Service Unavailable", "full", "Not-Executed: 1", "Content-Length: 4")
-	},
-	"refusal of another attempt": func(string) string {
-		return responseTo("other", "503 Service Unavailable", "full", "Not-Executed: 1", "Content-Length: 4")
-	},
-	"no response": func(string) string { return "engine failed: out of memory\r\n\r\n" },
-	"cut head":    func(attempt string) string { return responseTo(attempt, "200 OK", "", sealLine)[:40] },
-	"nothing":     func(string) string { return "" },
-	"empty stream": func(attempt string) string {
-		return responseTo(attempt, "200 OK", "", sealLine, streamLine, "Content-Length: 9")
-	},
-	"truncated event": func(attempt string) string {
-		return responseTo(attempt, "200 OK", "id: 3\ndata: boo", sealLine, streamLine)
-	},
+var failedContinuations = map[string]string{
+	"error with length":              elmscript.Response("500 Internal Server Error", "boom", attemptLine, sealLine, "Content-Length: 4"),
+	"error in chunks":                elmscript.Response("502 Bad Gateway", elmscript.Chunk("boom")+elmscript.Chunk(""), attemptLine, sealLine, chunkLine),
+	"error that its connection ends": elmscript.Response("500 Internal Server Error", "boom", attemptLine, sealLine),
+	"error as an event stream":       elmscript.Response("500 Internal Server Error", "id: 3\ndata: boom\n\n", attemptLine, sealLine, streamLine),
+	"plain text":                     elmscript.Response("200 OK", "boom", attemptLine, sealLine, "Content-Type: text/plain", "Content-Length: 4"),
+	"text as an event stream":        stream(errorText),
+	"stream without a seal":          elmscript.Response("200 OK", "id: 3\ndata: boom\n\n", attemptLine, streamLine),
+	"refusal":                        refusal,
+	"refusal of another attempt":     strings.ReplaceAll(refusal, "ATTEMPT", "other"),
+	"no response":                    errorText,
+	"cut head":                       stream("")[:60],
+	"nothing":                        "",
+	"empty stream":                   stream("", "Content-Length: 9"),
+	"truncated event":                stream("id: 3\ndata: boo"),
+}
+
+// respond writes a response that names the attempt of the request.
+func respond(x elmscript.Exchange, response string) {
+	_, _ = io.WriteString(x, strings.ReplaceAll(response, "ATTEMPT", x.Request.Header.Get("Attempt-Id")))
+}
+
+// streamFrom returns what the caller of a resumable stream gets from two endpoints.
+func streamFrom(t *testing.T, first, second string) result {
+	t.Helper()
+	f := newFixture(t, 0, nil)
+	f.addScripted(func(x elmscript.Exchange) bool {
+		response := second
+		if x.Number == 1 {
+			response = first
+		}
+		respond(x, response)
+		return false
+	}, "e0", "e1")
+	return f.call(t.Context(), "POST", "/stream/a", "", map[string]string{"Deadline-Ms": "5000"})
 }
 
 // Guards against the text of an error, or the head of another response, that reaches a
@@ -153,18 +104,8 @@
 		first := ways[i%len(ways)]
 		t.Run(first+", then "+second, func(t *testing.T) {
 			t.Parallel()
-			f := newFixture(t, 0, nil)
-			f.addScripted(func(w io.Writer, n int, attempt string) bool {
-				response := failedContinuations[second]
-				if n == 1 {
-					response = brokenStreams[first]
-				}
-				_, _ = io.WriteString(w, response(attempt))
-				return false
-			}, "e0", "e1")
-			got := f.call(t.Context(), "POST", "/stream/a", "", map[string]string{"Deadline-Ms": "5000"})
-			if got.err == nil || got.body != firstEvents {
-				t.Errorf("error %v, body %q; log:\n%s", got.err, got.body, f.log)
+			if got := streamFrom(t, brokenStreams[first], failedContinuations[second]); got.err == nil || got.body != firstEvents {
+				t.Errorf("error %v, body %q", got.err, got.body)
 			}
 		})
 	}
@@ -177,18 +118,9 @@
 	for first, broken := range brokenStreams {
 		t.Run(first, func(t *testing.T) {
 			t.Parallel()
-			f := newFixture(t, 0, nil)
-			f.addScripted(func(w io.Writer, n int, attempt string) bool {
-				response := responseTo(attempt, "200 OK", chunk(rest)+"0\r\n\r\n", sealLine, streamLine, chunkLine)
-				if n == 1 {
-					response = broken(attempt)
-				}
-				_, _ = io.WriteString(w, response)
-				return false
-			}, "e0", "e1")
-			got := f.call(t.Context(), "POST", "/stream/a", "", map[string]string{"Deadline-Ms": "5000"})
+			got := streamFrom(t, broken, stream(elmscript.Chunk(rest)+elmscript.Chunk(""), chunkLine))
 			if got.err != nil || got.body != firstEvents+rest {
-				t.Errorf("error %v, body %q; log:\n%s", got.err, got.body, f.log)
+				t.Errorf("error %v, body %q", got.err, got.body)
 			}
 		})
 	}
@@ -207,20 +139,17 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t, 0, nil)
-			refusal := func(attempt string) string {
-				return responseTo(attempt, "503 Service Unavailable", "", "Not-Executed: 1", "Content-Length: 0")
-			}
 			var refused io.Writer
-			f.addScripted(func(w io.Writer, n int, attempt string) bool {
-				switch {
-				case n == 1:
-					refused = w
-					_, _ = io.WriteString(w, refusal(attempt))
+			f.addScripted(func(x elmscript.Exchange) bool {
+				if x.Number == 1 {
+					refused = x.Writer
+					respond(x, refusal)
 					return true
-				case w == refused:
-					_, _ = io.WriteString(w, refusal(c.repeated))
 				}
-				_, _ = io.WriteString(w, responseTo(attempt, "200 OK", "ran", sealLine, "Content-Length: 3"))
+				if x.Writer == refused {
+					respond(x, strings.ReplaceAll(refusal, "ATTEMPT", c.repeated))
+				}
+				respond(x, elmscript.Response("200 OK", "ran", attemptLine, sealLine, "Content-Length: 3"))
 				return true
 			}, "e0")
 			if got := f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Attempt-Id": "first"}); got.status != http.StatusServiceUnavailable {
