--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,57 @@
+// Command stand runs one case of the review: it starts elmcove's programs as separate
+// processes on loopback addresses, and plays the platform's store, the endpoints and the
+// callers. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could
+// not run.
+//
+// # Usage
+//
+//	target/review/stand -case NAME -folder review/N [-calm]
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+func main() {
+	name := flag.String("case", "", "name of the case")
+	folder := flag.String("folder", ".", "folder of the case, in which record.txt is written")
+	calm := flag.Bool("calm", os.Getenv("TROUBLE") == "0", "run without the disruption")
+	program := flag.String("elmcove", "target/elmcove", "the program of the deploy file")
+	flag.Parse()
+	cases := map[string]func(*world) (bool, error){
+		"storm": runStorm, "cold": runCold, "route": runRoute,
+	}
+	run, ok := cases[*name]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "stand: unknown case", *name)
+		os.Exit(2)
+	}
+	os.Exit(play(run, filepath.Join(*folder, "record.txt"), *program, *calm))
+}
+
+// play runs a case and returns the exit code.
+func play(run func(*world) (bool, error), recordPath, program string, calm bool) int {
+	w, err := newWorld(recordPath, program, calm)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "stand:", err)
+		return 2
+	}
+	broken, err := run(w)
+	w.close()
+	switch {
+	case err != nil:
+		w.note("could not run: %v", err)
+		fmt.Fprintln(os.Stderr, "stand:", err)
+		return 2
+	case broken:
+		w.note("result: broken")
+		fmt.Println("broken")
+		return 1
+	}
+	w.note("result: held")
+	fmt.Println("held")
+	return 0
+}
