--- a/review/stand/cold.go
+++ b/review/stand/cold.go
@@ -13,20 +13,20 @@
 	coldLimit                  = coldPerSecond*coldOver + coldSlack
 )
 
-// runCold plays a long cut of one entry from the store, during which the endpoints of a
-// service come back cold.
+// runCold plays a long cut of one of three data centres from the platform, during which the
+// endpoints of a service come back cold. TROUBLE=return brings them back cold without a cut.
 func runCold(w *world) (bool, error) {
 	services := []map[string]any{service("desk", coldSeconds, coldPerSecond)}
 	w.store.put("op/config", configuration(3, []map[string]any{route("r-desk", "/desk/", "desk")}, services))
 	var endpoints []*endpoint
 	for i := range 2 {
-		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "b", 6, 10*time.Millisecond)
+		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "c", 6, 10*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
 		endpoints = append(endpoints, e)
 	}
-	entries, err := w.startEntries("a", "b")
+	entries, err := w.startEntries("a", "b", "c")
 	if err != nil {
 		return false, err
 	}
@@ -34,23 +34,26 @@
 	path := func() string { return "/desk/2f" }
 	c.wait.Go(func() { c.pace(entries, 20, 33, path, key) })
 	w.at(5)
-	if !w.calm {
+	if w.trouble == "" {
 		entries[0].path.setCut(true)
-		w.note("%s is cut from the store", entries[0].name)
+		w.note("data centre a with %s is cut from the store", entries[0].name)
 	}
 	w.at(33)
 	w.note("entries listed in the store: %v", w.store.keys("elmcove/entries/"))
-	for _, e := range endpoints {
-		e.crash()
-	}
-	w.note("the endpoints are down")
-	w.at(35)
-	for i, e := range endpoints {
-		e.restart(fmt.Sprintf("i-cold-%d", i), time.Duration(coldSeconds*float64(time.Second)))
-	}
 	back := time.Now()
-	w.note("the endpoints are back, cold for %.0f s", coldSeconds)
-	c.pace(entries, 300, 39, path, key)
+	if !w.calm() {
+		for _, e := range endpoints {
+			e.crash()
+		}
+		w.note("the endpoints are down")
+		w.at(35)
+		for i, e := range endpoints {
+			e.restart(fmt.Sprintf("i-cold-%d", i), time.Duration(coldSeconds*float64(time.Second)))
+		}
+		back = time.Now()
+		w.note("the endpoints are back, cold for %.0f s", coldSeconds)
+	}
+	c.pace(entries, 360, 39, path, key)
 	entries[0].path.setCut(false)
 	log := c.all()
 	w.note("answers by status: %v", statuses(log))
@@ -65,11 +68,12 @@
 	return broken, nil
 }
 
-// checkCold reports whether a cold endpoint got more requests in a second than it may.
-func (w *world) checkCold(e *endpoint, back time.Time, by map[string]string) bool {
+// checkCold reports whether an endpoint that was cold from a time on got more requests in a
+// second than it may.
+func (w *world) checkCold(e *endpoint, since time.Time, by map[string]string) bool {
 	var cold []arrival
 	for _, a := range e.all() {
-		if a.at.After(back) && a.at.Before(back.Add(time.Duration(coldSeconds*float64(time.Second)))) {
+		if a.cold && !a.at.Before(since) {
 			cold = append(cold, a)
 		}
 	}
@@ -85,7 +89,7 @@
 		}
 	}
 	counts := map[string]int{}
-	for _, a := range cold[first:min(first+most, len(cold))] {
+	for _, a := range cold[first : first+most] {
 		counts[by[a.attempt]]++
 	}
 	w.note("%s got %d requests while cold, at most %d in a second, by entry %v; the limit is %.0f", e.id, len(cold), most, counts, coldLimit)
@@ -94,3 +98,43 @@
 	}
 	return float64(most) > coldLimit
 }
+
+// runSudden plays an endpoint that becomes cold again while it serves, and says so in its
+// entry at once.
+func runSudden(w *world) (bool, error) {
+	services := []map[string]any{service("desk", coldSeconds, coldPerSecond), service("others", 0, 0)}
+	w.store.put("op/config", configuration(3, []map[string]any{route("r-desk", "/desk/", "desk")}, services))
+	var endpoints []*endpoint
+	for i := range 3 {
+		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "a", 6, 10*time.Millisecond)
+		if err != nil {
+			return false, err
+		}
+		endpoints = append(endpoints, e)
+	}
+	for i := range 12 {
+		time.Sleep(heartbeat / 12)
+		if _, err := w.startEndpoint(fmt.Sprintf("i-other-%d", i), "others", "a", 6, 10*time.Millisecond); err != nil {
+			return false, err
+		}
+	}
+	entries, err := w.startEntries("a", "b", "c")
+	if err != nil {
+		return false, err
+	}
+	c := newCaller(w)
+	c.wait.Go(func() { c.pace(entries, 600, 12, func() string { return "/desk/2f" }, key) })
+	w.at(8)
+	since := time.Now()
+	if !w.calm() {
+		endpoints[0].cool(time.Duration(coldSeconds * float64(time.Second)))
+		w.note("%s is cold for %.0f s, as its entry says", endpoints[0].id, coldSeconds)
+	}
+	log := c.all()
+	w.note("answers by status: %v", statuses(log))
+	by := map[string]string{}
+	for _, s := range log {
+		by[s.attempt] = s.entry
+	}
+	return w.checkCold(endpoints[0], since, by), nil
+}
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -16,6 +16,7 @@
 type arrival struct {
 	at                time.Time
 	attempt, path, id string
+	cold              bool
 }
 
 // endpoint is a stand-in for a replica of a service.
@@ -82,6 +83,14 @@
 	e.register()
 }
 
+// cool makes the endpoint cold for some time, without a restart.
+func (e *endpoint) cool(cold time.Duration) {
+	e.mutex.Lock()
+	e.coldUntil = time.Now().Add(cold)
+	e.mutex.Unlock()
+	e.register()
+}
+
 // all returns the requests that ran.
 func (e *endpoint) all() []arrival {
 	e.mutex.Lock()
@@ -96,7 +105,7 @@
 	named := r.Header.Get("Expect-Instance")
 	expected = named == "" || named == e.id
 	if e.up && expected {
-		e.arrivals = append(e.arrivals, arrival{time.Now(), r.Header.Get("Attempt-Id"), r.RequestURI, e.id})
+		e.arrivals = append(e.arrivals, arrival{time.Now(), r.Header.Get("Attempt-Id"), r.RequestURI, e.id, time.Now().Before(e.coldUntil)})
 	}
 	return e.id, e.up, expected
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	target/review/stand -case NAME -folder review/N [-calm]
+//	target/review/stand -case NAME -folder review/N [-trouble 0]
 package main
 
 import (
@@ -18,23 +18,23 @@
 func main() {
 	name := flag.String("case", "", "name of the case")
 	folder := flag.String("folder", ".", "folder of the case, in which record.txt is written")
-	calm := flag.Bool("calm", os.Getenv("TROUBLE") == "0", "run without the disruption")
+	trouble := flag.String("trouble", os.Getenv("TROUBLE"), "0 runs without the disruption; a case may know other values")
 	program := flag.String("elmcove", "target/elmcove", "the program of the deploy file")
 	flag.Parse()
 	cases := map[string]func(*world) (bool, error){
-		"storm": runStorm, "cold": runCold, "route": runRoute,
+		"cold": runCold, "route": runRoute, "storm": runStorm, "sudden": runSudden,
 	}
 	run, ok := cases[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "stand: unknown case", *name)
 		os.Exit(2)
 	}
-	os.Exit(play(run, filepath.Join(*folder, "record.txt"), *program, *calm))
+	os.Exit(play(run, filepath.Join(*folder, "record.txt"), *program, *trouble))
 }
 
 // play runs a case and returns the exit code.
-func play(run func(*world) (bool, error), recordPath, program string, calm bool) int {
-	w, err := newWorld(recordPath, program, calm)
+func play(run func(*world) (bool, error), recordPath, program, trouble string) int {
+	w, err := newWorld(recordPath, program, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "stand:", err)
 		return 2
--- a/review/stand/route.go
+++ b/review/stand/route.go
@@ -26,7 +26,7 @@
 	c := newCaller(w)
 	paths, n := []string{"/desk/2f", "/desk/eu%2F17", "/desk/eu/17"}, 0
 	next := func() string { n++; return paths[n%len(paths)] }
-	if !w.calm {
+	if !w.calm() {
 		time.AfterFunc(5*time.Second, func() {
 			split := append([]map[string]any{route("r-eu", "/desk/eu/", "archive")}, routes...)
 			w.store.put("op/config", configuration(7, split, services))
--- a/review/stand/storm.go
+++ b/review/stand/storm.go
@@ -55,12 +55,12 @@
 	c := newCaller(w)
 	c.wait.Go(func() { c.pace(entries, 20, 40, func() string { return "/moved/2f" }, key) })
 	w.at(10)
-	if !w.calm {
+	if !w.calm() {
 		w.storm(func() { write("desk") }, stormLength/4)
 	}
 	write("archive")
 	moved := time.Now()
-	if !w.calm {
+	if !w.calm() {
 		w.storm(func() { write("archive") }, 3*stormLength/4)
 	}
 	log := c.all()
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -17,7 +17,8 @@
 // world is what a case runs in.
 type world struct {
 	program string
-	calm    bool
+	// trouble is "0" for a run without the disruption.
+	trouble string
 	folder  string
 	store   *store
 	began   time.Time
@@ -29,7 +30,7 @@
 }
 
 // newWorld returns a world with an empty store.
-func newWorld(recordPath, program string, calm bool) (*world, error) {
+func newWorld(recordPath, program, trouble string) (*world, error) {
 	path, err := filepath.Abs(program)
 	if err != nil {
 		return nil, fmt.Errorf("program: %w", err)
@@ -42,8 +43,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("record: %w", err)
 	}
-	w := &world{program: path, calm: calm, folder: folder, store: newStore(), record: record, began: time.Now()}
-	w.note("calm %v", calm)
+	w := &world{program: path, trouble: trouble, folder: folder, store: newStore(), record: record, began: time.Now()}
+	w.note("TROUBLE=%s", trouble)
 	return w, nil
 }
 
@@ -54,6 +55,9 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
+// calm reports whether the case runs without the disruption.
+func (w *world) calm() bool { return w.trouble == "0" }
+
 // at waits until some seconds after the start.
 func (w *world) at(seconds float64) {
 	time.Sleep(time.Until(w.began.Add(time.Duration(seconds * float64(time.Second)))))
@@ -114,6 +118,7 @@
 [zones]
 a = "north"
 b = "north"
+c = "north"
 [listen]
 front = "%[2]s:8227"
 ready = "%[2]s:8220"
