--- a/review/stand/cold.go
+++ b/review/stand/cold.go
@@ -65,6 +65,7 @@
 	for _, e := range endpoints {
 		broken = w.checkCold(e, back, by) || broken
 	}
+	w.recordAll(log, endpoints...)
 	return broken, nil
 }
 
@@ -93,14 +94,14 @@
 		counts[by[a.attempt]]++
 	}
 	w.note("%s got %d requests while cold, at most %d in a second, by entry %v; the limit is %.0f", e.id, len(cold), most, counts, coldLimit)
-	for _, a := range cold {
-		w.note("  %.3f s  %s from %s", a.at.Sub(w.began).Seconds(), a.attempt, by[a.attempt])
-	}
 	return float64(most) > coldLimit
 }
 
-// runSudden plays an endpoint that becomes cold again while it serves, and says so in its
-// entry at once.
+// suddenEnd is when runSudden ends, in seconds.
+const suddenEnd = 50
+
+// runSudden plays endpoints that become cold again while they serve, and say so in their
+// entries at once.
 func runSudden(w *world) (bool, error) {
 	services := []map[string]any{service("desk", coldSeconds, coldPerSecond), service("others", 0, 0)}
 	w.store.put("op/config", configuration(3, []map[string]any{route("r-desk", "/desk/", "desk")}, services))
@@ -123,12 +124,14 @@
 		return false, err
 	}
 	c := newCaller(w)
-	c.wait.Go(func() { c.pace(entries, 600, 12, func() string { return "/desk/2f" }, key) })
-	w.at(8)
+	c.wait.Go(func() { c.pace(entries, 600, suddenEnd, func() string { return "/desk/2f" }, key) })
 	since := time.Now()
-	if !w.calm() {
-		endpoints[0].cool(time.Duration(coldSeconds * float64(time.Second)))
-		w.note("%s is cold for %.0f s, as its entry says", endpoints[0].id, coldSeconds)
+	for i := range 6 {
+		w.at(8 + 7.3*float64(i))
+		if e := endpoints[i%len(endpoints)]; !w.calm() {
+			e.cool(time.Duration(coldSeconds * float64(time.Second)))
+			w.note("%s is cold for %.0f s, as its entry says", e.id, coldSeconds)
+		}
 	}
 	log := c.all()
 	w.note("answers by status: %v", statuses(log))
@@ -136,5 +139,10 @@
 	for _, s := range log {
 		by[s.attempt] = s.entry
 	}
-	return w.checkCold(endpoints[0], since, by), nil
+	broken := false
+	for _, e := range endpoints {
+		broken = w.checkCold(e, since, by) || broken
+	}
+	w.recordAll(log, endpoints...)
+	return broken, nil
 }
--- a/review/stand/route.go
+++ b/review/stand/route.go
@@ -49,10 +49,6 @@
 		w.note("ran at %s: %v", service.service, counts)
 	}
 	w.note("requests run by a service to which no configuration allows them: %d", broken)
-	for _, s := range log {
-		if s.path == paths[1] {
-			w.note("%.3f s  %s %s -> %d %q", s.at.Sub(w.began).Seconds(), s.attempt, s.path, s.status, s.body)
-		}
-	}
+	w.recordAll(log, desk, archive)
 	return broken > 0, nil
 }
--- a/review/stand/storm.go
+++ b/review/stand/storm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -10,10 +11,20 @@
 	configTime = 2 * time.Second
 	// stormGap and stormLength are the largest dose of config_storm in the site file.
 	stormGap, stormLength = 80 * time.Millisecond, 4 * time.Second
-	// bigRoutes makes the configuration a little shorter than valueBytes.
-	bigRoutes = 5000
+	// bigRoutes is the number of routes that no caller uses: 115, and ten times the largest
+	// dose of big_config in the site file.
+	bigRoutes = 115 + 10*380
+	// valueBytes is the longest value that the store takes.
+	valueBytes = 1 << 20
 )
 
+// idleRoute returns a route that no caller uses.
+func idleRoute(i int) map[string]any {
+	r := route(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/idle%05d/", i), "desk")
+	r["kind"], r["sticky"], r["resumable"], r["gapAimMs"] = "streaming", true, true, 120
+	return r
+}
+
 // storm makes changes in quick succession for some time.
 func (w *world) storm(change func(), length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); {
@@ -31,21 +42,22 @@
 		version += 2
 		routes := []map[string]any{route("r-moved", "/moved/", target)}
 		for i := range bigRoutes {
-			routes = append(routes, route(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/idle%05d/", i), "desk"))
+			routes = append(routes, idleRoute(i))
 		}
 		document := configuration(version, routes, services)
 		w.store.put("op/config", document)
 		w.note("the store has acknowledged version %d, %d bytes: /moved/ goes to %s", version, len(document), target)
 		return len(document)
 	}
-	if size := write("desk"); size > 1<<20 {
+	if size := write("desk"); size > valueBytes {
 		return false, fmt.Errorf("the configuration has %d bytes", size)
 	}
 	desk, err := w.startEndpoint("i-desk-1", "desk", "a", 6, 10*time.Millisecond)
 	if err != nil {
 		return false, err
 	}
-	if _, err := w.startEndpoint("i-archive-1", "archive", "a", 6, 10*time.Millisecond); err != nil {
+	archive, err := w.startEndpoint("i-archive-1", "archive", "a", 6, 10*time.Millisecond)
+	if err != nil {
 		return false, err
 	}
 	entries, err := w.startEntries("a", "b")
@@ -53,8 +65,8 @@
 		return false, err
 	}
 	c := newCaller(w)
-	c.wait.Go(func() { c.pace(entries, 20, 40, func() string { return "/moved/2f" }, key) })
-	w.at(10)
+	c.wait.Go(func() { c.pace(entries, 20, 24, func() string { return "/moved/2f" }, key) })
+	w.at(4)
 	if !w.calm() {
 		w.storm(func() { write("desk") }, stormLength/4)
 	}
@@ -69,21 +81,20 @@
 	for _, s := range log {
 		sentAt[s.attempt] = s
 	}
-	broken := 0
+	broken := map[string]int{}
 	for _, a := range desk.all() {
-		s := sentAt[a.attempt]
-		if s.path == "/moved/2f" && s.at.After(moved.Add(configTime)) {
-			broken++
-			w.note("request %s, sent %.3f s after the acknowledgement, ran at desk (%s)", a.attempt, s.at.Sub(moved).Seconds(), s.entry)
+		if s := sentAt[a.attempt]; s.at.After(moved.Add(configTime)) {
+			broken[s.entry]++
 		}
 	}
-	refused := 0
+	refused := map[string]int{}
 	for _, s := range log {
-		if s.at.After(moved) && s.status != 200 {
-			refused++
-			w.note("request %s, sent %.3f s after the acknowledgement, got %d %s (%s)", s.attempt, s.at.Sub(moved).Seconds(), s.status, s.failed, s.entry)
+		if s.at.After(moved) && s.status == http.StatusServiceUnavailable {
+			refused[s.entry]++
 		}
 	}
-	w.note("requests handled as only an older version allows: %d; not answered with 200 after the change: %d", broken, refused)
-	return broken > 0, nil
+	w.note("sent over %v after the acknowledgement of the move and run by the old service, by entry: %v", configTime, broken)
+	w.note("refused with 503 after it, by entry: %v", refused)
+	w.recordAll(log, desk, archive)
+	return len(broken) > 0, nil
 }
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -55,6 +56,21 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
+// recordAll writes what was sent and answered and what ran to the record.
+func (w *world) recordAll(log []sent, endpoints ...*endpoint) {
+	slices.SortFunc(log, func(a, b sent) int { return a.at.Compare(b.at) })
+	w.note("sent: second, attempt, entry, path, status, body or failure")
+	for _, s := range log {
+		w.note("sent %.3f %s %s %s %d %q", s.at.Sub(w.began).Seconds(), s.attempt, s.entry, s.path, s.status, s.body+s.failed)
+	}
+	w.note("ran: second, attempt, endpoint, service, cold")
+	for _, e := range endpoints {
+		for _, a := range e.all() {
+			w.note("ran %.3f %s %s %s %v", a.at.Sub(w.began).Seconds(), a.attempt, a.id, e.service, a.cold)
+		}
+	}
+}
+
 // calm reports whether the case runs without the disruption.
 func (w *world) calm() bool { return w.trouble == "0" }
 
