--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -23,9 +23,14 @@
 
 // configuration returns the value of op/config.
 func configuration(version int, routes, services []map[string]any) []byte {
+	return configurationWithIdle(version, routes, services, 15000)
+}
+
+// configurationWithIdle returns the value of op/config with an idle limit in milliseconds.
+func configurationWithIdle(version int, routes, services []map[string]any, idle int) []byte {
 	document, _ := json.Marshal(map[string]any{ // Always encodes.
 		"version": version, "routes": routes, "services": services,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": idle},
 		"tenants": []map[string]any{{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
 	})
 	return document
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,7 +22,7 @@
 	program := flag.String("elmcove", "target/elmcove", "the program of the deploy file")
 	flag.Parse()
 	cases := map[string]func(*world) (bool, error){
-		"cold": runCold, "route": runRoute, "storm": runStorm, "sudden": runSudden,
+		"cold": runCold, "idle": runIdle, "route": runRoute, "storm": runStorm, "sudden": runSudden,
 	}
 	run, ok := cases[*name]
 	if !ok {
