--- a/review/stand/idle.go
+++ b/review/stand/idle.go
@@ -19,7 +19,7 @@
 	// pollInterval is how long a caller waits after an answer before it asks again.
 	pollInterval = 5 * time.Second
 	// pollers is the number of callers, which have a connection each.
-	pollers = 600
+	pollers = 1000
 	// lostLimit is the number of lost requests that the rule LOST allows.
 	lostLimit = 3
 )
@@ -62,7 +62,7 @@
 	var wait sync.WaitGroup
 	for i := range polls {
 		wait.Go(func() {
-			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 1800 * time.Microsecond)
 			polls[i] = w.pollTwice(entries[0], i)
 		})
 	}
