--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -36,22 +36,22 @@
 }
 
 // send sends a request to an entry in the background.
-func (c *caller) send(e *entry, path, key string) {
+func (c *caller) send(e *entry, path string) {
 	c.mutex.Lock()
 	c.number++
 	attempt := fmt.Sprintf("%016x", c.number)
 	c.mutex.Unlock()
 	c.wait.Go(func() {
 		s := sent{at: time.Now(), attempt: attempt, entry: e.name, path: path}
-		s.status, s.body, s.failed = c.exchange(e, path, key, attempt)
+		s.status, s.body, s.failed = c.exchange(e, path, attempt)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.log = append(c.log, s)
 	})
 }
 
-func (c *caller) exchange(e *entry, path, key, attempt string) (status int, body, failed string) {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+e.front+path, nil)
+func (c *caller) exchange(e *entry, path, attempt string) (status int, body, failed string) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+e.front+path, nil) //nolint:gosec // The address is a loopback address.
 	if err != nil {
 		return 0, "", err.Error()
 	}
@@ -59,7 +59,7 @@
 	request.Header.Set("Attempt-Id", attempt)
 	request.Header.Set("Deadline-Ms", "1500")
 	request.Header.Set("Credential", key)
-	response, err := c.client.Do(request)
+	response, err := c.client.Do(request) //nolint:gosec // The address is a loopback address.
 	if err != nil {
 		return 0, "", err.Error()
 	}
@@ -72,13 +72,13 @@
 }
 
 // pace sends requests to entries in turn, some a second, until a time after the start.
-func (c *caller) pace(entries []*entry, perSecond int, until float64, path func() string, key string) {
+func (c *caller) pace(entries []*entry, perSecond int, until float64, path func() string) {
 	end := c.w.began.Add(time.Duration(until * float64(time.Second)))
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	for n := 0; time.Now().Before(end); n++ {
 		<-ticker.C
-		c.send(entries[n%len(entries)], path(), key)
+		c.send(entries[n%len(entries)], path())
 	}
 }
 
--- a/review/stand/cold.go
+++ b/review/stand/cold.go
@@ -20,7 +20,7 @@
 	w.store.put("op/config", configuration(3, []map[string]any{route("r-desk", "/desk/", "desk")}, services))
 	var endpoints []*endpoint
 	for i := range 2 {
-		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "c", 6, 10*time.Millisecond)
+		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "c")
 		if err != nil {
 			return false, err
 		}
@@ -32,7 +32,7 @@
 	}
 	c := newCaller(w)
 	path := func() string { return "/desk/2f" }
-	c.wait.Go(func() { c.pace(entries, 20, 33, path, key) })
+	c.wait.Go(func() { c.pace(entries, 20, 33, path) })
 	w.at(5)
 	if w.trouble == "" {
 		entries[0].path.setCut(true)
@@ -53,7 +53,7 @@
 		back = time.Now()
 		w.note("the endpoints are back, cold for %.0f s", coldSeconds)
 	}
-	c.pace(entries, 360, 39, path, key)
+	c.pace(entries, 360, 39, path)
 	entries[0].path.setCut(false)
 	log := c.all()
 	w.note("answers by status: %v", statuses(log))
@@ -107,7 +107,7 @@
 	w.store.put("op/config", configuration(3, []map[string]any{route("r-desk", "/desk/", "desk")}, services))
 	var endpoints []*endpoint
 	for i := range 3 {
-		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "a", 6, 10*time.Millisecond)
+		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "a")
 		if err != nil {
 			return false, err
 		}
@@ -115,7 +115,7 @@
 	}
 	for i := range 12 {
 		time.Sleep(heartbeat / 12)
-		if _, err := w.startEndpoint(fmt.Sprintf("i-other-%d", i), "others", "a", 6, 10*time.Millisecond); err != nil {
+		if _, err := w.startEndpoint(fmt.Sprintf("i-other-%d", i), "others", "a"); err != nil {
 			return false, err
 		}
 	}
@@ -124,7 +124,7 @@
 		return false, err
 	}
 	c := newCaller(w)
-	c.wait.Go(func() { c.pace(entries, 600, suddenEnd, func() string { return "/desk/2f" }, key) })
+	c.wait.Go(func() { c.pace(entries, 600, suddenEnd, func() string { return "/desk/2f" }) })
 	since := time.Now()
 	for i := range 6 {
 		w.at(8 + 7.3*float64(i))
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// slots is the number of requests that an endpoint works on at a time, and workTime how long
+// each takes.
+const slots, workTime = 6, 10 * time.Millisecond
+
 // heartbeat is the time between two entries of an endpoint (heartbeatMs).
 const heartbeat = 1200 * time.Millisecond
 
@@ -23,7 +27,6 @@
 type endpoint struct {
 	w             *world
 	service, zone string
-	work          time.Duration
 	address       string
 
 	mutex     sync.Mutex
@@ -36,8 +39,8 @@
 }
 
 // startEndpoint starts an endpoint that is warm.
-func (w *world) startEndpoint(id, service, zone string, slots int, work time.Duration) (*endpoint, error) {
-	e := &endpoint{w: w, service: service, zone: zone, work: work, id: id, up: true, slots: make(chan struct{}, slots)}
+func (w *world) startEndpoint(id, service, zone string) (*endpoint, error) {
+	e := &endpoint{w: w, service: service, zone: zone, id: id, up: true, slots: make(chan struct{}, slots)}
 	var err error
 	if e.address, err = w.listen("127.0.0.1", e); err != nil {
 		return nil, err
@@ -124,7 +127,7 @@
 		return
 	}
 	e.slots <- struct{}{}
-	time.Sleep(e.work)
+	time.Sleep(workTime)
 	<-e.slots
 	w.Header().Set("Response-Seal", "seal-"+id+"-"+attempt)
 	w.Header().Set("Content-Type", "text/plain")
--- a/review/stand/idle.go
+++ b/review/stand/idle.go
@@ -48,7 +48,7 @@
 	w.store.put("op/config", configurationWithIdle(3, routes, services, before))
 	var endpoints []*endpoint
 	for i := range 3 {
-		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "a", 6, 10*time.Millisecond)
+		e, err := w.startEndpoint(fmt.Sprintf("i-desk-%d", i), "desk", "a")
 		if err != nil {
 			return false, err
 		}
@@ -122,7 +122,7 @@
 		return p
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
-	if _, err := reader.Peek(1); err != nil {
+	if _, err = reader.Peek(1); err != nil {
 		var timeout net.Error
 		p.closed = !errors.As(err, &timeout) || !timeout.Timeout()
 		p.failed = err.Error()
--- a/review/stand/route.go
+++ b/review/stand/route.go
@@ -11,11 +11,11 @@
 	services := []map[string]any{service("desk", 0, 0), service("archive", 0, 0)}
 	routes := []map[string]any{route("r-desk", "/desk/", "desk")}
 	w.store.put("op/config", configuration(3, routes, services))
-	desk, err := w.startEndpoint("i-desk-1", "desk", "a", 6, 10*time.Millisecond)
+	desk, err := w.startEndpoint("i-desk-1", "desk", "a")
 	if err != nil {
 		return false, err
 	}
-	archive, err := w.startEndpoint("i-archive-1", "archive", "a", 6, 10*time.Millisecond)
+	archive, err := w.startEndpoint("i-archive-1", "archive", "a")
 	if err != nil {
 		return false, err
 	}
@@ -33,7 +33,7 @@
 			w.note("the store has acknowledged version 7: /desk/eu/ goes to archive, /desk/ to desk as before")
 		})
 	}
-	c.pace(entries, 20, 12, next, key)
+	c.pace(entries, 20, 12, next)
 	log := c.all()
 	w.note("answers by status: %v", statuses(log))
 	broken := 0
--- a/review/stand/storm.go
+++ b/review/stand/storm.go
@@ -52,11 +52,11 @@
 	if size := write("desk"); size > valueBytes {
 		return false, fmt.Errorf("the configuration has %d bytes", size)
 	}
-	desk, err := w.startEndpoint("i-desk-1", "desk", "a", 6, 10*time.Millisecond)
+	desk, err := w.startEndpoint("i-desk-1", "desk", "a")
 	if err != nil {
 		return false, err
 	}
-	archive, err := w.startEndpoint("i-archive-1", "archive", "a", 6, 10*time.Millisecond)
+	archive, err := w.startEndpoint("i-archive-1", "archive", "a")
 	if err != nil {
 		return false, err
 	}
@@ -65,7 +65,7 @@
 		return false, err
 	}
 	c := newCaller(w)
-	c.wait.Go(func() { c.pace(entries, 20, 24, func() string { return "/moved/2f" }, key) })
+	c.wait.Go(func() { c.pace(entries, 20, 24, func() string { return "/moved/2f" }) })
 	w.at(4)
 	if !w.calm() {
 		w.storm(func() { write("desk") }, stormLength/4)
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -92,7 +92,7 @@
 	for _, s := range servers {
 		_ = s.Close()
 	}
-	_ = os.RemoveAll(w.folder)
+	_ = os.RemoveAll(w.folder) //nolint:gosec // os.MkdirTemp has named it.
 }
 
 // listen serves a handler at a free port of a loopback address until the end.
@@ -237,7 +237,7 @@
 		}
 		file := filepath.Join(w.folder, e.name+".toml")
 		text := fmt.Sprintf(settings, e.name, ips[i], zone, seeds, address)
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil { //nolint:gosec // os.MkdirTemp has named the folder.
 			return nil, fmt.Errorf("settings: %w", err)
 		}
 		if err := w.start(e, file); err != nil {
@@ -259,7 +259,7 @@
 	process := exec.Command(w.program, "router") //nolint:noctx,gosec // It is killed at the end; the path is a flag.
 	process.Env = []string{"ELMCOVE_BOOT=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + w.folder}
 	if folder := os.Getenv("REVIEW_LOGS"); folder != "" {
-		log, err := os.Create(filepath.Join(folder, e.name+".log"))
+		log, err := os.Create(filepath.Join(folder, e.name+".log")) //nolint:gosec // The caller of the script names the folder.
 		if err != nil {
 			return fmt.Errorf("log: %w", err)
 		}
