--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
   echo "build the deploy file and run review/build.sh first" >&2
   exit 2
 fi
-exec timeout -k 5 110 target/review/stand -case idle -folder review/1
+exec target/review/stand -case idle -folder review/1
--- a/review/stand/cold.go
+++ b/review/stand/cold.go
@@ -32,7 +32,7 @@
 	}
 	c := newCaller(w)
 	path := func() string { return "/desk/2f" }
-	c.wait.Go(func() { c.pace(entries, 20, 33, path) })
+	c.wait.Go(func() { c.pace(entries, 360, 39, path) })
 	w.at(5)
 	if w.trouble == "" {
 		entries[0].path.setCut(true)
@@ -53,7 +53,7 @@
 		back = time.Now()
 		w.note("the endpoints are back, cold for %.0f s", coldSeconds)
 	}
-	c.pace(entries, 360, 39, path)
+	w.at(39)
 	entries[0].path.setCut(false)
 	log := c.all()
 	w.note("answers by status: %v", statuses(log))
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,7 +12,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 func main() {
@@ -32,6 +35,22 @@
 	os.Exit(play(run, filepath.Join(*folder, "record.txt"), *program, *trouble))
 }
 
+// longest is how long a case may take.
+const longest = 100 * time.Second
+
+// endEarly ends the processes of a case that is stopped or takes too long.
+func endEarly(w *world) {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-stopped:
+	case <-time.After(longest):
+	}
+	w.note("could not run: stopped, or over %v", longest)
+	w.close()
+	os.Exit(2)
+}
+
 // play runs a case and returns the exit code.
 func play(run func(*world) (bool, error), recordPath, program, trouble string) int {
 	w, err := newWorld(recordPath, program, trouble)
@@ -39,6 +58,7 @@
 		fmt.Fprintln(os.Stderr, "stand:", err)
 		return 2
 	}
+	go endEarly(w)
 	broken, err := run(w)
 	w.close()
 	switch {
