Close callers' connections as idle only between two requests

Cause: a timer closed connections that net/http counts as idle, which it does until the complete head of a request is read. A request that was read as the timer fired was passed on, and the close cancelled it.

elmlistener decides where the bytes are read: the connection ends only if the read of the next request finds nothing, so that a request whose first byte was read can't be cut.

--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -39,6 +39,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/wire/elmabort"
+	"github.com/elmcove/elmcove/internal/wire/elmlistener"
 	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 	"github.com/elmcove/elmcove/platform"
 )
@@ -172,27 +173,30 @@
 func (r *Router) Run(ctx context.Context) error {
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers := r.callerServer(base)
+	callers, err := r.callerListener(ctx)
+	if err != nil {
+		return err
+	}
 	failures := make(chan error, 5)
-	servers := []struct {
+	server := r.callerServer(base, callers)
+	go func() { failures <- server.Serve(callers) }()
+	for _, s := range []struct {
 		address string
-		server  *http.Server
+		handler http.Handler
 	}{
-		{r.settings.Callers, callers},
-		{r.settings.Readiness, r.auxiliaryServer(base, r.readiness())},
-		{r.settings.Control, r.auxiliaryServer(base, r.control())},
-		{r.internalAddress(), r.auxiliaryServer(base, r.control())},
-		{r.settings.Metrics, r.auxiliaryServer(base, r.control())},
-	}
-	for _, s := range servers {
+		{r.settings.Readiness, r.readiness()},
+		{r.settings.Control, r.control()},
+		{r.internalAddress(), r.control()},
+		{r.settings.Metrics, r.control()},
+	} {
 		if s.address == "" {
 			continue
 		}
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", s.address)
+		listener, err := listen(ctx, s.address)
 		if err != nil {
-			return fmt.Errorf("%w: %w", ErrRouter, err)
+			return err
 		}
-		go func() { failures <- s.server.Serve(listener) }()
+		go func() { failures <- r.auxiliaryServer(base, s.handler).Serve(listener) }()
 	}
 	r.logger.Event(elmlog.Started, "callers", r.settings.Callers, "datacentre", r.settings.Datacentre)
 	go r.follower.Run(base)
@@ -213,7 +217,7 @@
 	case <-ctx.Done():
 	}
 	endPlanning()
-	r.drain(callers)
+	r.drain(server)
 	r.logger.Event(elmlog.Stopped)
 	return nil
 }
@@ -240,23 +244,42 @@
 	return r.longestDeadline[route]
 }
 
-// callerServer returns the server for callers. Its idle timeout follows the
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRouter, err)
+	}
+	return listener, nil
+}
+
+// callerListener returns the listener for callers. Its idle limit follows the
 // configuration.
-func (r *Router) callerServer(base context.Context) *http.Server {
-	closer := newIdleCloser(func() time.Duration {
-		if limit := r.follower.Snapshot().Catalog().Limits().Idle; limit > 0 {
-			return limit
-		}
-		return idleTimeout
-	})
-	server := &http.Server{
-		Handler:           http.HandlerFunc(r.serve),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       0,
-		MaxHeaderBytes:    headerBytes,
-		ConnState:         closer.onStateChange,
-		BaseContext:       func(net.Listener) context.Context { return base },
-		ErrorLog:          r.logger.Standard(),
+func (r *Router) callerListener(ctx context.Context) (*elmlistener.Listener, error) {
+	listener, err := listen(ctx, r.settings.Callers)
+	if err != nil {
+		return nil, err
+	}
+	return elmlistener.New(listener, elmlistener.WithHeadLimit(headerTimeout),
+		elmlistener.WithIdleLimit(func() time.Duration {
+			if limit := r.follower.Snapshot().Catalog().Limits().Idle; limit > 0 {
+				return limit
+			}
+			return idleTimeout
+		}),
+		elmlistener.WithEnded(func(reason elmlistener.EndReason) {
+			r.meter.Count("elmcove_caller_connections_ended_total", "reason", string(reason))
+		}),
+	), nil
+}
+
+// callerServer returns the server for callers.
+func (r *Router) callerServer(base context.Context, callers *elmlistener.Listener) *http.Server {
+	server := &http.Server{ //nolint:gosec // The listener limits the time for a head.
+		Handler:        http.HandlerFunc(r.serve),
+		MaxHeaderBytes: headerBytes,
+		ConnState:      callers.OnStateChange,
+		BaseContext:    func(net.Listener) context.Context { return base },
+		ErrorLog:       r.logger.Standard(),
 	}
 	elmabort.Protect(server)
 	return server
--- a/internal/wire/elmabort/elmabort.go
+++ b/internal/wire/elmabort/elmabort.go
@@ -17,6 +17,11 @@
 	"net/http"
 )
 
+// lingerer is a connection whose behaviour at the close can be set, such as a TCP connection.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
@@ -28,7 +33,7 @@
 	}
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+		conn, ok := r.Context().Value(connKey{}).(lingerer)
 		if !ok || r.ProtoAtLeast(1, 1) {
 			next.ServeHTTP(w, r)
 			return
--- /dev/null
+++ b/internal/wire/elmlistener/conn.go
@@ -0,0 +1,222 @@
+package elmlistener
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// idleMargin is the time beyond the idle limit after which a connection is closed. The
+	// peer counts the limit from when it has read the response.
+	idleMargin = time.Second
+	// firstRequestWait is how long a new connection of a listener that is draining may take
+	// to its first request.
+	firstRequestWait = time.Second
+	// readAheadSize is the number of bytes that net/http reads from a connection while a
+	// handler runs.
+	readAheadSize = 1
+)
+
+// phase is what a connection is doing.
+type phase int
+
+const (
+	// awaiting means that no byte of the next request was read.
+	awaiting phase = iota
+	// receiving means that the head of a request is being read.
+	receiving
+	// serving means that a request is being handled.
+	serving
+)
+
+// conn is a connection of a server. Its read deadline is the earliest of the server's own,
+// the end of the idle time, and the end of the time for a head.
+type conn struct {
+	*net.TCPConn
+	listener *Listener
+	accepted time.Time
+
+	mutex sync.Mutex
+	phase phase
+	// early is set when the first byte of the next request was read while a request was
+	// being handled.
+	early bool
+	// used is set when a request was received.
+	used      bool
+	idleSince time.Time
+	idleLimit time.Duration
+	// headEnd is the deadline for the head that is being received.
+	headEnd time.Time
+	// serverDeadline is the read deadline that the server has set.
+	serverDeadline time.Time
+}
+
+// Read reads from the connection. It returns io.EOF if the connection ends between two
+// requests.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if n, err = c.expire(p); n == 0 && err == nil {
+				continue
+			}
+		}
+		if n > 0 {
+			c.receive(len(p) == readAheadSize)
+		}
+		return n, err
+	}
+}
+
+// expire handles a deadline that has passed. It returns neither bytes nor an error if the
+// connection may be read further.
+func (c *conn) expire(p []byte) (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	if c.phase != awaiting || isPast(c.serverDeadline, now) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	draining := c.listener.isDraining()
+	c.idleLimit = max(c.idleLimit, c.listener.idleLimit())
+	if now.Before(c.idleEnd(draining)) {
+		return 0, c.setReadDeadline()
+	}
+	// A request may have come that a busy process has not read in time.
+	n, err := c.readAvailable(p)
+	if n > 0 || err != nil {
+		return n, err
+	}
+	if draining {
+		c.listener.ended(EndedDraining)
+	} else {
+		c.listener.ended(EndedIdle)
+	}
+	return 0, io.EOF
+}
+
+// readAvailable reads the bytes that have arrived, without waiting.
+func (c *conn) readAvailable(p []byte) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if err = c.TCPConn.SetReadDeadline(time.Time{}); err != nil { // No read succeeds after a deadline.
+		return 0, err
+	}
+	n := 0
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, readErr = syscall.Read(int(fd), p)
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, syscall.EAGAIN):
+		return 0, nil
+	case readErr != nil:
+		return 0, readErr
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// receive records that bytes were read, ahead or as the server needed them.
+func (c *conn) receive(ahead bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch c.phase {
+	case awaiting:
+		c.startHead()
+	case serving:
+		c.early = c.early || ahead
+	case receiving:
+	}
+}
+
+// startHead starts the time for the head of a request. The mutex must be held.
+func (c *conn) startHead() {
+	c.phase, c.used, c.early = receiving, true, false
+	c.headEnd = time.Now().Add(c.listener.headLimit)
+	_ = c.setReadDeadline() // It fails only on a closed connection.
+}
+
+// begin records that the head of a request was read.
+func (c *conn) begin() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.phase, c.used, c.headEnd = serving, true, time.Time{}
+	_ = c.setReadDeadline() // It fails only on a closed connection.
+}
+
+// await records that a request has been handled.
+func (c *conn) await() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.early {
+		c.startHead()
+		return
+	}
+	c.phase, c.headEnd = awaiting, time.Time{}
+	c.idleSince, c.idleLimit = time.Now(), c.listener.idleLimit()
+	_ = c.setReadDeadline() // It fails only on a closed connection.
+}
+
+// refresh applies a change of the listener to the pending read.
+func (c *conn) refresh() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_ = c.setReadDeadline() // It fails only on a closed connection.
+}
+
+// SetReadDeadline sets the server's own deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.serverDeadline = t
+	return c.setReadDeadline()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.remove(c)
+	return c.TCPConn.Close()
+}
+
+// setReadDeadline sets the earliest deadline that applies. The mutex must be held.
+func (c *conn) setReadDeadline() error {
+	deadline := earliest(c.serverDeadline, c.headEnd)
+	if c.phase == awaiting {
+		deadline = earliest(deadline, c.idleEnd(c.listener.isDraining()))
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// idleEnd returns when the connection ends if no request comes. The mutex must be held.
+func (c *conn) idleEnd(draining bool) time.Time {
+	switch {
+	case !draining:
+		return c.idleSince.Add(c.idleLimit + idleMargin)
+	case c.used:
+		return c.idleSince
+	}
+	return c.accepted.Add(firstRequestWait)
+}
+
+// earliest returns the earlier of two deadlines, where the zero time means none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// isPast reports whether a deadline has passed.
+func isPast(deadline, now time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
--- /dev/null
+++ b/internal/wire/elmlistener/elmlistener.go
@@ -0,0 +1,199 @@
+// Package elmlistener accepts the connections of an HTTP server and closes them only
+// between two requests.
+//
+// A timer, http.Server.Shutdown and http.Server.SetKeepAlivesEnabled close connections
+// that the server counts as idle. The server counts a connection as idle until it has read
+// the complete head of a request, so that they close connections on which a request is being
+// read or has just been read. Here the read of a request's first byte decides: a connection
+// ends because it is idle, or because the process is stopping, only if that read finds
+// nothing to read. Requests whose first byte was read are handled.
+//
+// # Usage
+//
+//	listener := elmlistener.New(inner, elmlistener.WithIdleLimit(limit))
+//	server := &http.Server{Handler: handler, ConnState: listener.OnStateChange}
+//	go server.Serve(listener)
+//	<-ctx.Done()
+//	err := listener.Drain(grace) // In place of server.Shutdown.
+//
+// The server must not set IdleTimeout, ReadTimeout or ReadHeaderTimeout.
+package elmlistener
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// ErrListener reports that connections are still open after a drain.
+var ErrListener = errors.New("listener")
+
+// Listener accepts connections for an HTTP server. It is safe for concurrent use.
+type Listener struct {
+	net.Listener
+	idleLimit func() time.Duration
+	headLimit time.Duration
+	ended     func(EndReason)
+
+	mutex       sync.Mutex
+	connections map[*conn]struct{}
+	draining    bool
+	// drained is closed when the listener is draining and has no connections left.
+	drained     chan struct{}
+	drainedOnce sync.Once
+}
+
+// EndReason is the reason for which a connection was closed between two requests.
+type EndReason string
+
+const (
+	// EndedIdle means that no request came within the idle limit.
+	EndedIdle EndReason = "idle"
+	// EndedDraining means that the process is stopping.
+	EndedDraining EndReason = "draining"
+)
+
+// Option configures New.
+type Option func(*Listener)
+
+// WithIdleLimit sets a function that returns how long a connection may stay idle. It is
+// called when a connection becomes idle and again when that time has passed; the longer
+// time holds.
+func WithIdleLimit(limit func() time.Duration) Option {
+	return func(l *Listener) { l.idleLimit = limit }
+}
+
+// WithHeadLimit sets the time from the first byte of a request to the end of its head.
+func WithHeadLimit(limit time.Duration) Option {
+	return func(l *Listener) { l.headLimit = limit }
+}
+
+// WithEnded sets a function that is called for each connection that the listener ends.
+func WithEnded(ended func(EndReason)) Option {
+	return func(l *Listener) { l.ended = ended }
+}
+
+const (
+	// defaultIdleLimit and defaultHeadLimit apply without an option.
+	defaultIdleLimit = time.Minute
+	defaultHeadLimit = 15 * time.Second
+)
+
+// New returns a Listener that accepts the TCP connections of another listener.
+func New(inner net.Listener, options ...Option) *Listener {
+	l := &Listener{
+		Listener:    inner,
+		idleLimit:   func() time.Duration { return defaultIdleLimit },
+		headLimit:   defaultHeadLimit,
+		ended:       func(EndReason) {},
+		connections: map[*conn]struct{}{},
+		drained:     make(chan struct{}),
+	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // The server accepts again after temporary errors.
+	}
+	tcp, ok := accepted.(*net.TCPConn)
+	if !ok {
+		return accepted, nil
+	}
+	now := time.Now()
+	c := &conn{TCPConn: tcp, listener: l, accepted: now, idleSince: now, idleLimit: l.idleLimit()}
+	l.add(c)
+	c.refresh()
+	return c, nil
+}
+
+func (l *Listener) add(c *conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.connections[c] = struct{}{}
+}
+
+// OnStateChange is the server's ConnState hook.
+func (l *Listener) OnStateChange(c net.Conn, state http.ConnState) {
+	own, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		own.begin()
+	case http.StateIdle:
+		own.await()
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
+
+// Drain stops accepting connections and closes each open one between two requests. It
+// waits until all are closed or the context ends.
+func (l *Listener) Drain(ctx context.Context) error {
+	_ = l.Close() // It fails only if the listener is closed already.
+	for _, c := range l.startDraining() {
+		c.refresh()
+	}
+	select {
+	case <-l.drained:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %d connections are still open: %w", ErrListener, l.open(), context.Cause(ctx))
+	}
+}
+
+// startDraining returns the connections that are open.
+func (l *Listener) startDraining() []*conn {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.draining {
+		return nil
+	}
+	l.draining = true
+	open := make([]*conn, 0, len(l.connections))
+	for c := range l.connections {
+		open = append(open, c)
+	}
+	l.checkDrained()
+	return open
+}
+
+func (l *Listener) isDraining() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.draining
+}
+
+func (l *Listener) open() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.connections)
+}
+
+// remove forgets a connection that is closed.
+func (l *Listener) remove(c *conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, ok := l.connections[c]; !ok {
+		return
+	}
+	delete(l.connections, c)
+	l.checkDrained()
+}
+
+// checkDrained closes drained if nothing is left to wait for. The mutex must be held.
+func (l *Listener) checkDrained() {
+	if l.draining && len(l.connections) == 0 {
+		l.drainedOnce.Do(func() { close(l.drained) })
+	}
+}
