Answer requests that are read while the router stops

Callers whose request was being read as the router closed its listening socket got the end of their connection, also where the request may not be repeated.

Cause: http.Server.Shutdown closes connections that count as idle, which they do until a head is complete, and after it has begun net/http drops each request that it has read.

The router now drains through elmlistener: connections end between two requests, and requests whose first byte was read are answered. TestStop failed before: the connection ended without an answer.

--- /dev/null
+++ b/internal/forward/elmrouter/connection_test.go
@@ -0,0 +1,71 @@
+package elmrouter_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/elmcove/elmcove/platform"
+)
+
+// Guards against a kept connection that is closed as idle while a request on it is being
+// read or has been passed on (review/1).
+func TestRequestAtTheIdleLimit(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, nil)
+	f.store.Put("op/config", bytes.Replace(configuration(2, credential), []byte(`"idleTimeoutMs":5000`), []byte(`"idleTimeoutMs":100`), 1))
+	f.eventually("updated", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
+	conn, reader := f.dialCaller()
+	for i, pause := range []time.Duration{0, 1500 * time.Millisecond} {
+		request := rawRequest("/once/a", fmt.Sprintf("a%d", i), "1500")
+		_, _ = io.WriteString(conn, request[:20])
+		<-time.After(pause)
+		_, _ = io.WriteString(conn, request[20:])
+		if got := readResult(reader); got.err != nil || got.body != "answer of e0" {
+			t.Errorf("request %d: got %+v", i, got)
+		}
+	}
+}
+
+// stopAndPass stops the router and waits until it counts as stopping for a time.
+func (f *fixture) stopAndPass(elapsed time.Duration) {
+	f.t.Helper()
+	f.stop()
+	f.eventually("stopping", func() bool { return strings.Contains(f.log.String(), "process is draining") })
+	<-time.After(elapsed)
+}
+
+// Guards against requests that a stopping router reads and leaves without an answer.
+func TestStop(t *testing.T) {
+	t.Parallel()
+	const afterListening = 3 * time.Second // Later than the close of the listening socket.
+	for name, c := range map[string]struct {
+		grace time.Duration
+		run   func(*testing.T, *fixture)
+	}{
+		"head is being read": {5500 * time.Millisecond, func(t *testing.T, f *fixture) {
+			conn, reader := f.dialCaller()
+			request := rawRequest("/once/a", "a1", "1500")
+			_, _ = io.WriteString(conn, request[:20])
+			f.stopAndPass(afterListening)
+			_, _ = io.WriteString(conn, request[20:])
+			got := readResult(reader)
+			if got.err != nil || got.status != http.StatusOK {
+				t.Errorf("got %+v", got)
+			}
+			if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection is still open: %v", err)
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.run(t, newFixture(t, 1, func(s *platform.Settings) { s.Bounds.Grace = c.grace }))
+		})
+	}
+}
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -178,8 +178,7 @@
 		return err
 	}
 	failures := make(chan error, 5)
-	server := r.callerServer(base, callers)
-	go func() { failures <- server.Serve(callers) }()
+	go func() { failures <- r.callerServer(base, callers).Serve(callers) }()
 	for _, s := range []struct {
 		address string
 		handler http.Handler
@@ -217,13 +216,13 @@
 	case <-ctx.Done():
 	}
 	endPlanning()
-	r.drain(server)
+	r.drain(callers)
 	r.logger.Event(elmlog.Stopped)
 	return nil
 }
 
 // drain finishes the requests in flight within the platform's grace period.
-func (r *Router) drain(callers *http.Server) {
+func (r *Router) drain(callers *elmlistener.Listener) {
 	r.draining.Store(true)
 	r.logger.Event(elmlog.Stopping, "grace", r.settings.Bounds.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Bounds.Grace-graceMargin)
@@ -231,7 +230,7 @@
 	timer := time.NewTimer(shutdownDelay)
 	defer timer.Stop()
 	<-timer.C
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Drain(ctx); err != nil {
 		r.logger.Event(elmlog.Failed, "error", fmt.Errorf("%w: requests still in flight: %w", ErrRouter, err))
 	}
 }
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -1,13 +1,9 @@
 package elmrouter_test
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"maps"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -383,32 +379,3 @@
 		t.Errorf("got %+v within two seconds; log:\n%s", got, f.log)
 	}
 }
-
-// Guards against a kept connection that is closed as idle while a request on it is being
-// read or has been passed on (review/1).
-func TestRequestAtTheIdleLimit(t *testing.T) {
-	t.Parallel()
-	f := newFixture(t, 1, nil)
-	f.store.Put("op/config", bytes.Replace(configuration(2, credential), []byte(`"idleTimeoutMs":5000`), []byte(`"idleTimeoutMs":100`), 1))
-	f.eventually("updated", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
-	conn, err := net.Dial("tcp4", f.settings.Callers)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close() //nolint:errcheck // The answers have been read.
-	reader := bufio.NewReader(conn)
-	for i, pause := range []time.Duration{0, 1500 * time.Millisecond} {
-		head := fmt.Sprintf("POST /once/a HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a%d\r\nCredential: %s\r\nDeadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n", host, i, credential)
-		_, _ = io.WriteString(conn, head[:20])
-		<-time.After(pause)
-		_, _ = io.WriteString(conn, head[20:])
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			t.Fatalf("request %d has no answer: %v", i, err)
-		}
-		if got, err := io.ReadAll(response.Body); err != nil || string(got) != "answer of e0" {
-			t.Errorf("got %q, %v", got, err)
-		}
-		_ = response.Body.Close()
-	}
-}
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -1,10 +1,12 @@
 package elmrouter_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -265,3 +267,31 @@
 	}
 	return n
 }
+
+// dialCaller opens a connection of a caller.
+func (f *fixture) dialCaller() (net.Conn, *bufio.Reader) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp4", f.settings.Callers)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+// rawRequest returns the text of a request without a body.
+func rawRequest(target, attempt, deadline string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: %s\r\nContent-Length: 0\r\n\r\n",
+		target, host, attempt, credential, deadline)
+}
+
+// readResult reads an answer from a connection of a caller.
+func readResult(reader *bufio.Reader) result {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close() //nolint:errcheck // The body has been read.
+	got, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, response.Header, string(got), err}
+}
