Refuse requests that a stopping router can't finish

Callers whose request came late in the grace of a planned stop could get the end of their connection in place of an answer, although the request had been passed on and may not be repeated.

Cause: only the wait for open requests knew the end of the grace, not what takes requests or runs them.

From the close of the listening socket on, a request whose time limit ends after the grace is refused with 503 and Retry-After, not run. At the end of the grace, requests without a response get 504 and streams an abort.

--- a/internal/forward/elmrouter/connection_test.go
+++ b/internal/forward/elmrouter/connection_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/elmcove/elmcove/platform"
+	"github.com/elmcove/elmcove/platform/stand"
 )
 
 // Guards against a kept connection that is closed as idle while a request on it is being
@@ -40,7 +41,8 @@
 	<-time.After(elapsed)
 }
 
-// Guards against requests that a stopping router reads and leaves without an answer.
+// Guards against requests that a stopping router reads and leaves without an answer, or passes
+// on although it can't wait for their end.
 func TestStop(t *testing.T) {
 	t.Parallel()
 	const afterListening = 3 * time.Second // Later than the close of the listening socket.
@@ -62,6 +64,30 @@
 				t.Errorf("the connection is still open: %v", err)
 			}
 		}},
+		"request that can't be finished": {5500 * time.Millisecond, func(t *testing.T, f *fixture) {
+			conn, reader := f.dialCaller()
+			request := rawRequest("/single/a?stream=1&pause=800", "a1", "5000")
+			_, _ = io.WriteString(conn, request[:20])
+			f.stopAndPass(afterListening)
+			_, _ = io.WriteString(conn, request[20:])
+			got := readResult(reader)
+			if got.err != nil || got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+				t.Errorf("got %+v", got)
+			}
+			if n := len(f.runs()); n > 0 {
+				t.Errorf("%d requests reached endpoints", n)
+			}
+		}},
+		"request without an answer at the end": {3500 * time.Millisecond, func(t *testing.T, f *fixture) {
+			f.next(stand.Hang)
+			conn, reader := f.dialCaller()
+			_, _ = io.WriteString(conn, rawRequest("/single/a", "a1", "20000"))
+			f.eventually("sent", func() bool { return len(f.runs()) > 0 })
+			f.stop()
+			if got := readResult(reader); got.err != nil || got.status != http.StatusGatewayTimeout {
+				t.Errorf("got %+v", got)
+			}
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -24,6 +24,9 @@
 // passed.
 var errDeadlineExceeded = errors.New("request time limit exceeded")
 
+// errStopping is the cancellation cause of requests in flight when the router stops.
+var errStopping = errors.New("entry stops")
+
 const (
 	// minRemaining is the shortest remaining time with which a request
 	// is still sent to an endpoint.
@@ -153,10 +156,14 @@
 // contextEnded returns the message for the end of the context, or nil while the
 // context is active.
 func (d *delivery) contextEnded(sent bool) elmlifecycle.Message {
+	cause := context.Cause(d.ctx)
 	switch {
 	case d.ctx.Err() == nil:
 		return nil
-	case errors.Is(context.Cause(d.ctx), errDeadlineExceeded):
+	case errors.Is(cause, errStopping):
+		d.cause = errStopping
+		return elmlifecycle.Expired{Sent: sent}
+	case errors.Is(cause, errDeadlineExceeded):
 		return elmlifecycle.Expired{Sent: sent}
 	}
 	return elmlifecycle.Disconnected{}
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -58,8 +58,10 @@
 	// to notice that the entry is not ready.
 	shutdownDelay = 2500 * time.Millisecond
 	// graceMargin is the part of the grace period reserved for the exit of the
-	// process.
-	graceMargin = 400 * time.Millisecond
+	// process, and lastResponseTime the part of it in which requests in flight get
+	// a response.
+	graceMargin      = 400 * time.Millisecond
+	lastResponseTime = 200 * time.Millisecond
 	// credentialAgeRatio is the share of the revocation limit beyond which a
 	// snapshot is too old to accept credentials.
 	credentialAgeRatio = 0.9
@@ -87,7 +89,10 @@
 	// loadsChanged is sent to when this entry's loads have changed.
 	loadsChanged chan struct{}
 	draining     atomic.Bool
-	ready        atomic.Bool
+	// lateAfter is when a draining router starts to refuse requests that it can't finish
+	// before stopsAt. Both are 0 while it is not draining.
+	lateAfter, stopsAt atomic.Int64
+	ready              atomic.Bool
 	// informed is set when the notices of a first snapshot have been applied.
 	informed atomic.Bool
 
@@ -178,7 +183,9 @@
 		return err
 	}
 	failures := make(chan error, 5)
-	go func() { failures <- r.callerServer(base, callers).Serve(callers) }()
+	requests, endRequests := context.WithCancelCause(base)
+	defer endRequests(nil)
+	go func() { failures <- r.callerServer(requests, callers).Serve(callers) }()
 	for _, s := range []struct {
 		address string
 		handler http.Handler
@@ -216,23 +223,41 @@
 	case <-ctx.Done():
 	}
 	endPlanning()
-	r.drain(callers)
+	r.drain(callers, endRequests)
 	r.logger.Event(elmlog.Stopped)
 	return nil
 }
 
-// drain finishes the requests in flight within the platform's grace period.
-func (r *Router) drain(callers *elmlistener.Listener) {
+// drain finishes the requests in flight within the platform's grace period. At its end,
+// requests without a response get one.
+func (r *Router) drain(callers *elmlistener.Listener, endRequests context.CancelCauseFunc) {
+	grace := r.settings.Bounds.Grace - graceMargin
+	now := elmclock.Now()
+	r.stopsAt.Store(int64(now + grace))
+	r.lateAfter.Store(int64(now + shutdownDelay))
 	r.draining.Store(true)
 	r.logger.Event(elmlog.Stopping, "grace", r.settings.Bounds.Grace)
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Bounds.Grace-graceMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	timer := time.NewTimer(shutdownDelay)
-	defer timer.Stop()
-	<-timer.C
-	if err := callers.Drain(ctx); err != nil {
-		r.logger.Event(elmlog.Failed, "error", fmt.Errorf("%w: requests still in flight: %w", ErrRouter, err))
+	elmclock.Wait(ctx, shutdownDelay)
+	err := callers.Drain(ctx)
+	if err == nil {
+		return
 	}
+	r.logger.Event(elmlog.Failed, "error", fmt.Errorf("%w: requests still in flight: %w", ErrRouter, err))
+	endRequests(errStopping)
+	last, cancelLast := context.WithTimeout(context.Background(), lastResponseTime)
+	defer cancelLast()
+	_ = callers.Drain(last) // The process ends in any case.
+}
+
+// isLate reports whether a request can't be finished before the router stops. Callers
+// are sent to other entries only after a while, so that their first requests are taken.
+func (r *Router) isLate(a admitted, now time.Duration) bool {
+	if !r.draining.Load() || now < time.Duration(r.lateAfter.Load()) {
+		return false
+	}
+	return a.began+a.timeLimit > time.Duration(r.stopsAt.Load())
 }
 
 // recordDeadline records a deadline on a route and returns the longest one so far.
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -56,6 +56,7 @@
 	if events {
 		header.Del("Content-Length") // A resumed stream may differ in length.
 	}
+	d.router.closeIfDraining(d.writer)
 	d.status = d.response.Status
 	d.writer.WriteHeader(d.status)
 	if !events {
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -40,6 +40,7 @@
 	reasonBodyUnread    = "body not read"
 	reasonNoService     = "route without service"
 	reasonMaybeNewer    = "may be newer than the belief"
+	reasonStopping      = "entry stops before the request's time limit"
 	reasonQuarantined   = "endpoints crash under this request or a segment of its prompt"
 )
 
@@ -73,13 +74,13 @@
 // serve handles one request of a caller.
 func (r *Router) serve(w http.ResponseWriter, request *http.Request) {
 	began := elmclock.Now()
-	if r.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	requestInfo := platform.ReadRequestInfo(request.Header)
 	snapshot := r.follower.Snapshot()
 	limitWriting(w, writeMargin)
 	a, err := r.admit(request, requestInfo, snapshot, began)
+	if err == nil && r.isLate(a, elmclock.Now()) {
+		err = refusalError{http.StatusServiceUnavailable, reasonStopping}
+	}
 	if err != nil {
 		var refused refusalError
 		if errors.As(err, &refused) {
@@ -94,6 +95,14 @@
 	r.deliver(ctx, w, request, a)
 }
 
+// closeIfDraining announces the end of the connection in the head of a response, if the
+// router is draining.
+func (r *Router) closeIfDraining(w http.ResponseWriter) {
+	if r.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // limitWriting bounds the time in which a response can be written. A caller that does not
 // read would otherwise keep the slot of an endpoint beyond the request's time limit.
 func limitWriting(w http.ResponseWriter, limit time.Duration) {
@@ -227,6 +236,7 @@
 
 // respond writes a response of the router itself, with the reason unless that is "".
 func (r *Router) respond(w http.ResponseWriter, requestInfo platform.RequestInfo, status int, after time.Duration, reason string) {
+	r.closeIfDraining(w)
 	platform.SetRefusalHeaders(w.Header(), requestInfo.Attempt, after)
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
