Answer requests that are read while an entry of the own interface stops

The same cause as on the router's path: SetKeepAlivesEnabled(false) and Shutdown close connections on which a head is being read, and net/http drops requests that it reads after that. TestEntryStops failed before: the connection ended without an answer. The entry now drains through elmlistener. Its idle connections end after three minutes; they had no limit.

--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -36,12 +36,14 @@
 	"github.com/elmcove/elmcove/internal/wire/elmabort"
 	"github.com/elmcove/elmcove/internal/wire/elmkeys"
 	"github.com/elmcove/elmcove/internal/wire/elmlink"
+	"github.com/elmcove/elmcove/internal/wire/elmlistener"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
 const (
 	ledgerSize     = 4096
 	headerTimeout  = 10 * time.Second
+	idleTimeout    = 3 * time.Minute
 	maxHeaderBytes = 32 << 10
 	drainTimeout   = 2 * time.Minute
 )
@@ -124,17 +126,18 @@
 	go e.pause.Run(base, e.reportSuspension)
 	go e.followRoster(base)
 	go e.followConfig(base)
-	server, err := e.listen(ctx)
+	listener, err := e.listen(ctx)
 	if err != nil {
 		return err
 	}
 	e.logger.Event(elmlog.Started, "http", e.settings.HTTP, "incarnation", e.incarnation)
 	<-ctx.Done()
-	return e.drain(base, server)
+	return e.drain(base, listener)
 }
 
-func (e *Entry) listen(ctx context.Context) (*http.Server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.settings.HTTP)
+// listen serves callers until the returned listener is drained.
+func (e *Entry) listen(ctx context.Context) (*elmlistener.Listener, error) {
+	inner, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.settings.HTTP)
 	if err != nil {
 		return nil, fmt.Errorf("%w: listen %s: %w", ErrEntry, e.settings.HTTP, err)
 	}
@@ -142,24 +145,38 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	listener := elmlistener.New(inner, elmlistener.WithHeadLimit(headerTimeout),
+		elmlistener.WithIdleLimit(func() time.Duration { return idleTimeout }))
+	server := &http.Server{ //nolint:gosec // The listener limits the time for a head.
+		Handler: e.closeIfDraining(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: listener.OnStateChange,
+	}
 	elmabort.Protect(server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, net.ErrClosed) {
 			e.logger.Event(elmlog.Failed, "error", err)
 		}
 	}()
-	return server, nil
+	return listener, nil
+}
+
+// closeIfDraining announces in responses that the connection ends, while the entry is
+// draining.
+func (e *Entry) closeIfDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
-func (e *Entry) drain(ctx context.Context, server *http.Server) error {
+func (e *Entry) drain(ctx context.Context, listener *elmlistener.Listener) error {
 	e.logger.Event(elmlog.Stopping)
 	e.draining.Store(true)
-	server.SetKeepAlivesEnabled(false)
 	time.Sleep(time.Duration(e.settings.DrainDelay) * time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := listener.Drain(ctx); err != nil {
 		return fmt.Errorf("%w: drain: %w", ErrEntry, err)
 	}
 	e.logger.Event(elmlog.Stopped)
--- a/internal/entry/elmentry/elmentry_test.go
+++ b/internal/entry/elmentry/elmentry_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,12 +33,46 @@
 			platform.SetFault(fault)
 			server := httptest.NewServer(platform.Handler())
 			defer server.Close()
-			runOnce(t, server.URL)
+			stop := start(t, server.URL)
+			stop()
 		})
 	}
 }
 
-func runOnce(t *testing.T, platform string) {
+// Guards against requests that a stopping entry reads and leaves without an answer.
+func TestEntryStops(t *testing.T) {
+	server := httptest.NewServer(elmplatform.New().Handler())
+	defer server.Close()
+	stop := start(t, server.URL)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // The answer has been read.
+	const request = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+	_, _ = io.WriteString(conn, request[:20])
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	for connects := true; connects; { // Until the listening socket is closed.
+		other, refused := net.Dial("tcp", address)
+		if connects = refused == nil; connects {
+			_ = other.Close()
+		}
+	}
+	<-time.After(200 * time.Millisecond)
+	_, _ = io.WriteString(conn, request[20:])
+	answer, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200") {
+		t.Errorf("got %q, %v", answer, err)
+	}
+	<-stopped
+}
+
+// start starts an entry and returns the function that stops it.
+func start(t *testing.T, platform string) func() {
 	t.Helper()
 	keys := t.TempDir()
 	if err := elmkeys.Generate(keys); err != nil {
@@ -62,8 +99,10 @@
 	if status != http.StatusServiceUnavailable {
 		t.Errorf("readyz returned %d without a configuration", status)
 	}
-	cancel()
-	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
-		t.Error(err)
+	return func() {
+		cancel()
+		if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 	}
 }
