Wait for silent endpoints with requests that can't be sent elsewhere

A caller whose request has a long body and may not be repeated got 502 when a sound endpoint read nothing for a little over a second.

Cause: TCP_USER_TIMEOUT of 1 s, meant for network partitions. Once the buffers are full, the kernel applies it to a peer that acknowledges without reading as well.

The timeout is now the request's time limit unless the request can be sent to another endpoint, in which case waiting would cost the caller more.

--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -44,9 +44,9 @@
 	// dialTimeout is too short for the retransmission of a lost SYN: endpoints
 	// accept connections within milliseconds.
 	dialTimeout = 500 * time.Millisecond
-	// unackedTimeout is how long sent data may stay unacknowledged before the
-	// connection is closed: half of the time after which callers give up on a
-	// stream.
+	// unackedTimeout is how long the data of a request that can be sent elsewhere may
+	// stay unacknowledged before the connection is closed: half of the time after which
+	// callers give up on a stream.
 	unackedTimeout = time.Second
 	// defaultIdleTimeout applies if an endpoint announces no idle timeout.
 	defaultIdleTimeout = 3 * time.Second
@@ -79,6 +79,9 @@
 	Body   []byte
 	// Attempt identifies the request. Responses to other attempts are skipped.
 	Attempt string
+	// Movable means that the request may be sent to another endpoint if this one can't be
+	// reached. Others wait for an endpoint that is silent until their context ends.
+	Movable bool
 }
 
 // Client sends requests and keeps idle connections to endpoints for reuse. It is
@@ -128,6 +131,8 @@
 	inHead    bool
 	address   string
 	expires   time.Time
+	// unacked is the TCP_USER_TIMEOUT of the connection.
+	unacked time.Duration
 	// carried holds the attempts of all requests that were sent on the connection.
 	carried []string
 }
@@ -153,6 +158,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
 	c.carried = append(c.carried, r.Attempt)
+	c.limitUnacked(unackedLimit(ctx, r))
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	sent := make(chan error, 1)
 	if err = send(c, r, sent); err != nil {
@@ -169,6 +175,24 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, client: cl, conn: c, response: response, stop: stop, sent: sent}, nil
 }
 
+// unackedLimit returns how long the data of a request may stay unacknowledged.
+func unackedLimit(ctx context.Context, r Request) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok && !r.Movable {
+		return max(unackedTimeout, time.Until(deadline))
+	}
+	return unackedTimeout
+}
+
+// limitUnacked sets how long data may stay unacknowledged.
+func (c *conn) limitUnacked(limit time.Duration) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || limit == c.unacked {
+		return
+	}
+	_ = elmsocket.SetUserTimeout(tcp, limit) // It fails only on a closed connection.
+	c.unacked = limit
+}
+
 // send writes the head and body. Long bodies are written concurrently with reading
 // the response, since an endpoint may respond before it has read them.
 func send(c *conn, r Request, sent chan<- error) error {
@@ -257,7 +281,7 @@
 		return nil, fmt.Errorf("connect: %w", err)
 	}
 	cl.opened(address)
-	c := &conn{Conn: dialed, address: address, expires: time.Now().Add(defaultIdleTimeout)}
+	c := &conn{Conn: dialed, address: address, expires: time.Now().Add(defaultIdleTimeout), unacked: unackedTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
--- a/internal/forward/elmexchange/elmexchange_test.go
+++ b/internal/forward/elmexchange/elmexchange_test.go
@@ -24,6 +24,12 @@
 
 // newEndpoint starts an endpoint that serves one connection for each script.
 func newEndpoint(t *testing.T, scripts ...[]string) *endpoint {
+	t.Helper()
+	return newEndpointAfter(t, 0, scripts...)
+}
+
+// newEndpointAfter starts an endpoint that reads nothing from a connection for a time.
+func newEndpointAfter(t *testing.T, silence time.Duration, scripts ...[]string) *endpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -37,6 +43,7 @@
 			if err != nil {
 				return
 			}
+			<-time.After(silence)
 			e.play(c, script)
 		}
 	}()
--- a/internal/forward/elmexchange/response.go
+++ b/internal/forward/elmexchange/response.go
@@ -102,6 +102,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.limitUnacked(unackedTimeout) // So that keep-alive probes find a lost peer in time.
 	r.client.putIdle(r.conn)
 }
 
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -304,6 +304,7 @@
 	response, err := d.router.exchange.Do(d.beginAttempt(), d.member.Address, elmexchange.Request{
 		Method: d.request.Method, Target: d.request.RequestURI, Host: d.request.Host,
 		Header: platform.ForwardedRequestHeaders(d.request.Header, forwardInfo), Body: d.body, Attempt: d.requestInfo.Attempt,
+		Movable: d.route.Retryable() && len(d.lifecycle.Tried()) < d.route.Attempts,
 	})
 	if err != nil {
 		return d.exchangeFailed(err)
--- a/internal/wire/elmsocket/elmsocket.go
+++ b/internal/wire/elmsocket/elmsocket.go
@@ -8,6 +8,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -18,11 +19,23 @@
 // connection is closed when sent data stays unacknowledged for the given time.
 // Without it, a connection across a network partition hangs for minutes.
 func UserTimeout(after time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var optionErr error
-		err := c.Control(func(fd uintptr) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
-		})
-		return errors.Join(err, optionErr)
+	return func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, after) }
+}
+
+// SetUserTimeout sets TCP_USER_TIMEOUT on an open connection. A peer that acknowledges but
+// does not read counts as unreachable too, once the buffers are full.
+func SetUserTimeout(c syscall.Conn, after time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("raw connection: %w", err)
 	}
+	return setUserTimeout(raw, after)
+}
+
+func setUserTimeout(c syscall.RawConn, after time.Duration) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
 }
