--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -175,7 +175,8 @@
 }
 
 // TestUnreadableEntries checks that store entries that can't be decoded are logged
-// and ignored, and that valid entries are still used.
+// and ignored, several at once and as the last ones before the watch is cut, and that valid
+// entries are still used.
 func TestUnreadableEntries(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 1, nil)
@@ -183,15 +184,22 @@
 		"", "\xff\xfe", `{"service":1}`, `{"service":"desk"}`, `[]`,
 		`{"service":"desk","address":"127.0.0.1:1","zone":"home","slots":4,"state":"asleep","coldLeftMs":0}`,
 		`{"service":"desk","address":"127.0.0.1:1","zone":"home","slots":"4","state":"ready","coldLeftMs":0}`,
+		`{"service":"desk","address":"127.0.0.1:65536","zone":"home","slots":4,"state":"ready","coldLeftMs":0}`,
+		`{"service":"desk","address":"127.0.0.1:1","zone":"home","slots":9007199254740993,"state":"ready","coldLeftMs":0}`,
+		`{"service":"desk","address":"127.0.0.1:1","zone":"home","slots":4,"state":"ready","coldLeftMs":1e400}`,
+		strings.Repeat("[", 200_000),
 	} {
 		f.store.Put(fmt.Sprintf("servers/bad%d", i), []byte(bad))
 	}
-	f.eventually("logged", func() bool { return strings.Count(f.log.String(), "can't be read") >= 7 })
+	f.eventually("logged", func() bool { return strings.Count(f.log.String(), "can't be read") >= 11 })
 	for range 8 {
 		if got := f.call(t.Context(), "POST", "/once/a", "", nil); got.body != "answer of e0" {
 			t.Fatalf("got %+v", got)
 		}
 	}
+	f.store.CompactHistory()
+	f.addEndpoint("e1")
+	f.eventually("used after the watch was cut", func() bool { return f.call(t.Context(), "POST", "/once/a", "", nil).body == "answer of e1" })
 }
 
 // TestRevokedCredential checks that a revoked credential is refused. While the
