Leave odd documents out of the instance list of the own interface

One document in the platform's list that does not match the schema of an instance made the complete list unusable: entries kept their last list and did not learn of changes. TestOddInstances failed before in all its cases, on the generated decoder, which rejects the list as a whole. Found after a report of operators of a similar system.

Documents are now checked one at a time; those left out are logged as 1208.

--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -80,14 +80,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
 	}
-	store, err := elmstore.New(settings.Platform)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
-	}
 	e := &Entry{
 		settings:     settings,
 		keys:         keys,
-		store:        store,
 		holder:       elmholder.New(),
 		ledger:       elmledger.New(ledgerSize),
 		pause:        elmpause.New(),
@@ -102,6 +97,9 @@
 	for _, option := range options {
 		option(e)
 	}
+	if e.store, err = elmstore.New(settings.Platform, elmstore.WithOmitted(e.reportOmitted)); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
+	}
 	hello := &elmwire.Hello{Instance: settings.Instance, Datacentre: settings.Datacentre, Incarnation: e.incarnation}
 	host, _, err := net.SplitHostPort(settings.HTTP)
 	if err != nil {
@@ -183,6 +181,10 @@
 	return nil
 }
 
+func (e *Entry) reportOmitted(instance string, err error) {
+	e.logger.Event(elmlog.InstanceUnreadable, "instance", instance, "error", err)
+}
+
 func (e *Entry) reportSuspension(gap time.Duration) {
 	e.logger.Event(elmlog.ProcessResumed, "gap", gap)
 }
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -32,6 +32,7 @@
 	StoreRead           Event = 1205
 	StoreRestored       Event = 1206
 	StateSourceChanged  Event = 1207
+	InstanceUnreadable  Event = 1208
 	LinkUp              Event = 1301
 	LinkDown            Event = 1302
 	LinkRefused         Event = 1303
@@ -116,6 +117,7 @@
 	StoreRead:           {hclog.Info, "store read in full", adviceNone},
 	StoreRestored:       {hclog.Warn, "store returned from a copy, its latest writes are lost", "None in a drill. Otherwise ask the platform's operators. Check that the operator's configuration and withdrawals are written again."},
 	StateSourceChanged:  {hclog.Info, "source of the platform state changed", "If the source is the store for long, check the entry that reads the store for this one."},
+	InstanceUnreadable:  {hclog.Warn, "listed instance can't be read", "Find out what writes the platform's list. The other instances are used."},
 	RequestFinished:     {hclog.Info, "request finished", adviceNone},
 	RequestFailed:       {hclog.Info, "request failed and may have been executed", "Check its endpoint and error."},
 	RequestResumed:      {hclog.Info, "stream resumed on another endpoint", adviceNone},
--- a/internal/registry/elmstore/elmstore.go
+++ b/internal/registry/elmstore/elmstore.go
@@ -62,9 +62,22 @@
 	leases map[int64]string
 }
 
+// Option configures New.
+type Option func(*rosterTransport)
+
+// WithOmitted sets a function that is called for each document in the instance list that is
+// left out because it does not match the schema of an instance.
+func WithOmitted(omitted func(instance string, err error)) Option {
+	return func(t *rosterTransport) { t.omitted = omitted }
+}
+
 // New returns a client for the platform at an HTTP address.
-func New(address string) (*Store, error) {
-	client, err := elmkvapi.NewClient(address, elmkvapi.WithClient(&http.Client{Transport: &http.Transport{}}))
+func New(address string, options ...Option) (*Store, error) {
+	transport := rosterTransport{next: &http.Transport{}, omitted: func(string, error) {}}
+	for _, option := range options {
+		option(&transport)
+	}
+	client, err := elmkvapi.NewClient(address, elmkvapi.WithClient(&http.Client{Transport: transport}))
 	if err != nil {
 		return nil, fmt.Errorf("platform address %q: %w", address, err)
 	}
--- a/internal/registry/elmstore/elmstore_test.go
+++ b/internal/registry/elmstore/elmstore_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -118,3 +121,34 @@
 		t.Errorf("the next write: %v", err)
 	}
 }
+
+// Guards against an odd document in the instance list that makes the complete list unusable.
+func TestOddInstances(t *testing.T) {
+	const sound = `{"name":"a1","role":"agent","datacentre":"worcester","address":"10.0.0.4:80","state":"live"}`
+	for name, odd := range map[string]string{
+		"unknown role":      strings.Replace(sound, "agent", "proxy", 1),
+		"missing field":     `{"name":"a2"}`,
+		"other type":        strings.Replace(sound, `"a1"`, "1e400", 1),
+		"no object":         `[1]`,
+		"deeply nested":     strings.Repeat("[", 5000) + strings.Repeat("]", 5000),
+		"null":              `null`,
+		"state of no known": strings.Replace(sound, "live", "asleep", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				_, _ = io.WriteString(w, `{"version":3,"instances":[`+odd+`,`+sound+`]}`)
+			}))
+			defer server.Close()
+			omitted := 0
+			store, err := elmstore.New(server.URL, elmstore.WithOmitted(func(string, error) { omitted++ }))
+			if err != nil {
+				t.Fatal(err)
+			}
+			list, err := store.WatchInstances(t.Context(), nil, 2, 0)
+			if err != nil || list.Version != 3 || len(list.Instances) != 1 || list.Instances[0].Name != "a1" || omitted != 1 {
+				t.Errorf("got %+v with %d left out, %v", list, omitted, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/registry/elmstore/roster.go
@@ -0,0 +1,82 @@
+package elmstore
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
+	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
+)
+
+// maxListBytes limits the platform's list of instances.
+const maxListBytes = 64 << 20
+
+// rosterTransport removes from the platform's instance list what does not match the schema
+// of an instance. The generated decoder rejects the complete list otherwise.
+type rosterTransport struct {
+	next    http.RoundTripper
+	omitted func(instance string, err error)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t rosterTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.next.RoundTrip(request)
+	if err != nil || !strings.HasSuffix(request.URL.Path, "/instances") || response.StatusCode != http.StatusOK {
+		return response, err //nolint:wrapcheck // The client wraps it.
+	}
+	defer response.Body.Close() //nolint:errcheck // The body has been read.
+	document, err := elmbounded.ReadAll(response.Body, maxListBytes)
+	if err != nil {
+		return nil, fmt.Errorf("read the instance list: %w", err)
+	}
+	document = t.usable(document)
+	response.Body, response.ContentLength = io.NopCloser(bytes.NewReader(document)), int64(len(document))
+	return response, nil
+}
+
+// usable returns the list without the instances that don't match the schema, or as it is if
+// the list itself can't be decoded.
+func (t rosterTransport) usable(document []byte) []byte {
+	var list struct {
+		Version   json.RawMessage   `json:"version"`
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if json.Unmarshal(document, &list) != nil {
+		return document
+	}
+	kept := make([]json.RawMessage, 0, len(list.Instances))
+	for _, raw := range list.Instances {
+		if err := checkInstance(raw); err != nil {
+			t.omitted(excerpt(raw), err)
+			continue
+		}
+		kept = append(kept, raw)
+	}
+	if len(kept) == len(list.Instances) {
+		return document
+	}
+	list.Instances = kept
+	filtered, err := json.Marshal(list)
+	if err != nil {
+		return document
+	}
+	return filtered
+}
+
+// checkInstance returns an error if a document does not match the schema of an instance.
+func checkInstance(document []byte) error {
+	var i elmkvapi.Instance
+	if err := i.UnmarshalJSON(document); err != nil {
+		return err
+	}
+	return i.Validate()
+}
+
+// excerptSize is the length in bytes of the part of a document that is logged.
+const excerptSize = 120
+
+func excerpt(document []byte) string { return string(document[:min(len(document), excerptSize)]) }
