Match routes with the path as the caller has sent it

Cause: prefixes were compared with the path that net/http had decoded, while the endpoint gets the path as sent.

--- a/internal/forward/elmcatalog/elmcatalog.go
+++ b/internal/forward/elmcatalog/elmcatalog.go
@@ -162,8 +162,8 @@
 // RequiresCredentials reports whether routes need a credential unless they are public.
 func (c Catalog) RequiresCredentials() bool { return c.guarded }
 
-// Match returns the route of a host with the longest prefix of a path. It
-// ignores a port in the host.
+// Match returns the route of a host with the longest prefix of a path, which is compared as
+// the caller has sent it: an escaped slash is part of a segment. It ignores a port in the host.
 func (c Catalog) Match(host, path string) (Route, bool) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -118,7 +118,7 @@
 	catalog := snapshot.Catalog()
 	age := snapshot.Age(began)
 	var ok bool
-	a.route, ok = catalog.Match(request.Host, request.URL.Path)
+	a.route, ok = catalog.Match(request.Host, request.URL.EscapedPath())
 	if !ok {
 		return a, retryableIfStale(age, refusalError{http.StatusNotFound, reasonRoute})
 	}
