Read all keys when the changes do not fit the response of a watch

Cause: a watch beyond 8 MiB failed and was repeated from the same revision, with still more to return. It now counts like dropped history.

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 	"github.com/elmcove/elmcove/platform"
 )
@@ -154,7 +156,7 @@
 		} else {
 			err = f.watch(ctx, sent)
 		}
-		if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEra) {
+		if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEra) || errors.Is(err, errWatchTooLong) {
 			lastFullRead = -1
 			elmclock.Wait(ctx, rand.N(maxReadDelay))
 			continue
@@ -228,11 +230,18 @@
 	return nil
 }
 
+// errWatchTooLong reports changes that do not fit a response. A watch from the same position
+// would have still more.
+var errWatchTooLong = errors.New("too many changes for a watch")
+
 // watch waits for changes after the current position and applies them. It fails in a
 // new era, in which the revision means another state.
 func (f *Follower) watch(ctx context.Context, sent time.Duration) error {
 	position := f.Snapshot().Position()
 	page, err := f.store.Watch(ctx, "", position.Revision, f.watchTimeout())
+	if errors.Is(err, elmbounded.ErrTooLong) {
+		return fmt.Errorf("%w: %w", errWatchTooLong, err)
+	}
 	if err != nil {
 		return err
 	}
