Learn at once of endpoints that become cold under a high rate

Cause: entries start a watch of the store each 0.6 s, and heartbeats end most watches at once. For most of the time no watch is waiting, so that an entry goes on at the full rate for up to 0.6 s.

While the endpoints of a service get more requests than they could take if they became cold, entries now read the store each 50 ms (also through another entry). At lower rates nothing changes, since the endpoints can take what comes until the next watch. Weighed: a watch that always waits (a store call for each heartbeat, at all deployments), and reading Cold-Ms in health responses (entries ask for none).

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -30,6 +30,9 @@
 	// watchInterval is the time between the start of two watches. Each watch costs
 	// a store call, and most return at once because of the endpoints' heartbeats.
 	watchInterval = 600 * time.Millisecond
+	// urgentWatchInterval is the time between the start of two reads while changes are
+	// urgent.
+	urgentWatchInterval = 50 * time.Millisecond
 	// watchTimeout is how long a watch waits for a change. An empty response shows
 	// that nothing has changed, which keeps the age of the snapshot low.
 	watchTimeout = 1200 * time.Millisecond
@@ -74,6 +77,7 @@
 	logger   *elmlog.Logger
 	peers    PeersFunc
 	reader   SharedReaderFunc
+	urgent   func() bool
 	snapshot atomic.Pointer[elmsnapshot.Snapshot]
 
 	// relayedAt is the last time at which another process fetched the snapshot.
@@ -112,12 +116,19 @@
 	}
 }
 
+// WithUrgency sets a function that reports whether changes must be known as soon as they
+// are made, whatever the calls to the store cost.
+func WithUrgency(urgent func() bool) Option {
+	return func(f *Follower) { f.urgent = urgent }
+}
+
 // New returns a Follower with an empty snapshot.
 func New(store *platform.Store, logger *elmlog.Logger, options ...Option) *Follower {
 	f := &Follower{
 		store: store, logger: logger, items: map[string]platform.Item{},
 		peers:  func(context.Context, elmsnapshot.Position) []*elmpeer.Snapshot { return nil },
 		reader: func(context.Context, elmsnapshot.Position) (*elmpeer.Snapshot, bool) { return nil, false },
+		urgent: func() bool { return false },
 	}
 	snapshot := elmsnapshot.New()
 	f.snapshot.Store(&snapshot)
@@ -144,7 +155,7 @@
 		}
 		if shared {
 			lastFullRead = -1
-			elmclock.Wait(ctx, sharedReadInterval)
+			elmclock.Wait(ctx, f.interval(sharedReadInterval))
 			continue
 		}
 		sent := elmclock.Now()
@@ -162,7 +173,7 @@
 			continue
 		}
 		down = f.logStoreState(down, err)
-		delay := watchInterval - (elmclock.Now() - sent)
+		delay := f.interval(watchInterval) - (elmclock.Now() - sent)
 		if err != nil {
 			f.recordFailure()
 			f.fetchFromPeers(ctx)
@@ -172,6 +183,15 @@
 	}
 }
 
+// interval returns the time between the start of two reads, of which usual is the one while
+// changes are not urgent.
+func (f *Follower) interval(usual time.Duration) time.Duration {
+	if f.urgent() {
+		return urgentWatchInterval
+	}
+	return usual
+}
+
 // recordFailure records that a call to the store has failed.
 func (f *Follower) recordFailure() {
 	f.mutex.Lock()
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -379,8 +379,24 @@
 	if now >= m.ColdUntil || s.ColdRate <= 0 {
 		return true
 	}
-	limit := (s.ColdRate*p.settings.ColdFactor + p.settings.ColdSlack) * usableLimitRatio
-	return p.endpoint(m.ID).recent.Sum(now) < p.shares.Share(m.ID, limit, coldWindow, now)
+	return p.endpoint(m.ID).recent.Sum(now) < p.shares.Share(m.ID, p.coldLimit(s), coldWindow, now)
+}
+
+// coldLimit returns how many requests all entries together send a cold endpoint of a
+// service in each coldWindow.
+func (p *Placer) coldLimit(s elmcatalog.Service) float64 {
+	return (s.ColdRate*p.settings.ColdFactor + p.settings.ColdSlack) * usableLimitRatio
+}
+
+// ExceedsColdLimit reports whether the endpoints of a service get more requests than they
+// could take if they became cold, assuming that all entries get as many as this one.
+func (p *Placer) ExceedsColdLimit(s elmcatalog.Service, endpoints int, now time.Duration) bool {
+	if s.ColdRate <= 0 || endpoints == 0 {
+		return false
+	}
+	windows := float64(p.settings.RetryWindow) / float64(coldWindow)
+	requests := float64(p.service(s.Name).requests.Sum(now)) / windows * float64(p.shares.Count())
+	return requests/float64(endpoints) > p.coldLimit(s)
 }
 
 func (p *Placer) endpoint(id string) *endpoint {
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -150,7 +150,7 @@
 	r.board = elmnotice.New(r.store, settings.MinLeaseTTL, logger)
 	r.peers = elmpeers.New(r.internalAddress(), settings.Seeds)
 	r.follower = elmfollower.New(r.store, logger, elmfollower.WithPeers(r.peers.FetchSnapshots), elmfollower.WithSharedReader(r.readFromEntry),
-		elmfollower.WithGrace(settings.Bounds.LeaveDelay, settings.Bounds.WithdrawDelay))
+		elmfollower.WithGrace(settings.Bounds.LeaveDelay, settings.Bounds.WithdrawDelay), elmfollower.WithUrgency(r.exceedsColdLimit))
 	r.exchange = elmexchange.New(elmexchange.WithAttemptOf(func(h http.Header) string {
 		return platform.ReadResponseInfo(http.StatusOK, h).Attempt
 	}), elmexchange.WithOpened(func(string) { r.meter.Count("elmcove_connections_total", "to", "endpoint") }))
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
@@ -103,3 +104,14 @@
 	}
 	return local[0].address
 }
+
+// exceedsColdLimit reports whether an endpoint that became cold would get more requests than
+// it can take until this entry learns of it.
+func (r *Router) exceedsColdLimit() bool {
+	snapshot, now := r.follower.Snapshot(), elmclock.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.ContainsFunc(snapshot.Catalog().Services(), func(s elmcatalog.Service) bool {
+		return r.placer.ExceedsColdLimit(s, len(snapshot.Members(s.Name, now)), now)
+	})
+}
