Repeat an operator's change while its outcome is unknown

Operators saw "elmcove out" end with status 5 because the key-value service gave its write no reply in time (TestOutWithFrozenEntry, once beside heavy load).

Cause: the write was tried once, with the limit of one call (500 ms). It is conditional on the version that it follows, so repeating it is safe: elmsite now repeats it for up to 10 s while the outcome is unknown. A change that was accepted and followed by another one before its outcome was known is found in the history, and no longer reported as a conflict.

That the failure of TestOutWithFrozenEntry was this one is read from its message; it was not reproduced.

--- a/internal/config/elmsite/elmsite.go
+++ b/internal/config/elmsite/elmsite.go
@@ -19,12 +19,14 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/config/elmconfig"
 	"github.com/elmcove/elmcove/internal/config/elmjournal"
 	"github.com/elmcove/elmcove/internal/entry/elmentry"
 	"github.com/elmcove/elmcove/internal/entry/elmledger"
+	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/registry/elmstore"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
@@ -35,6 +37,13 @@
 // ErrSite reports that a site's configuration or its entries can't be read.
 var ErrSite = errors.New("site")
 
+const (
+	// changeTimeout is how long the write of a change is repeated while its outcome is unknown.
+	changeTimeout = 10 * time.Second
+	// retryDelay is the time between two writes.
+	retryDelay = 250 * time.Millisecond
+)
+
 // Conflict reports that another change was accepted first.
 type Conflict struct {
 	// Accepted is the change that was accepted first.
@@ -123,14 +132,35 @@
 	if err != nil {
 		return change, err
 	}
-	result, err := s.store.Swap(ctx, elmentry.ConfigKey(s.name), int64(current.config.Revision()), journal)
+	result, err := s.swap(ctx, elmentry.ConfigKey(s.name), int64(current.config.Revision()), journal)
 	if err != nil {
 		return change, err
 	}
-	if !result.Won {
-		return change, newConflict(result.Value.Data)
+	if result.Won || s.isAccepted(ctx, change) {
+		return change, nil
+	}
+	return change, newConflict(result.Value.Data)
+}
+
+// swap writes a value if the current version of the key is expect, and repeats that while
+// the outcome is unknown.
+func (s *Site) swap(ctx context.Context, key string, expect int64, data []byte) (elmstore.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	for {
+		result, err := s.store.Swap(ctx, key, expect, data)
+		if !errors.Is(err, elmstore.ErrUnavailable) || ctx.Err() != nil {
+			return result, err
+		}
+		elmclock.Wait(ctx, retryDelay)
 	}
-	return change, nil
+}
+
+// isAccepted reports whether a change is in the history, where a write without a reply may
+// have put it before another change followed.
+func (s *Site) isAccepted(ctx context.Context, change elmconfig.Change) bool {
+	history, err := s.History(ctx)
+	return err == nil && slices.ContainsFunc(history, func(c elmconfig.Change) bool { return c.ID == change.ID })
 }
 
 // accepted is a journal, its full document, and the configuration after its
@@ -184,7 +214,7 @@
 		return journal.Encode()
 	}
 	key := elmentry.ConfigKey(s.name) + ":" + wanted.Change.ID
-	if _, err := s.store.Swap(ctx, key, 0, document); err != nil {
+	if _, err := s.swap(ctx, key, 0, document); err != nil {
 		return nil, err
 	}
 	return journal.WithFullDocument(key).Encode()
