Count the buffered beginning of a request as read

Callers that pipeline saw a request refused with 400 "Bad Request", or its connection ended, if its beginning came in the same segment as the request before and its rest after an idle limit or the start of a drain.

The server reads up to 4096 bytes at once, so its buffer may hold the beginning of the next request when a response ends. The listener saw no read for it and counted the connection as waiting: at a drain it ended at once, otherwise at the idle limit. net/http takes the end inside a head for a malformed request.

Between two requests the server reads into its whole buffer only if that is empty. A read into a smaller part shows that a request has begun, and the limit for heads applies.

TestEventsInStates lets four events happen in eleven states of a connection.

--- a/internal/wire/elmlistener/conn.go
+++ b/internal/wire/elmlistener/conn.go
@@ -50,6 +50,8 @@
 	used      bool
 	idleSince time.Time
 	idleLimit time.Duration
+	// headBuffer is the size of the server's buffer for the heads of requests.
+	headBuffer int
 	// headEnd is the deadline for the head that is being received.
 	headEnd time.Time
 	// serverDeadline is the read deadline that the server has set.
@@ -59,6 +61,7 @@
 // Read reads from the connection. It returns io.EOF if the connection ends between two
 // requests.
 func (c *conn) Read(p []byte) (int, error) {
+	c.beginRead(len(p))
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -73,6 +76,20 @@
 	}
 }
 
+// beginRead records that the server reads into a part of its buffer. If the rest of the buffer
+// is in use between two requests, it holds the beginning of the next one, which was read
+// together with the last.
+func (c *conn) beginRead(size int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.headBuffer == 0 {
+		c.headBuffer = size
+	}
+	if c.phase == awaiting && size < c.headBuffer {
+		c.startHead()
+	}
+}
+
 // expire handles a deadline that has passed. It returns neither bytes nor an error if the
 // connection may be read further.
 func (c *conn) expire(p []byte) (int, error) {
--- a/internal/wire/elmlistener/elmlistener_test.go
+++ b/internal/wire/elmlistener/elmlistener_test.go
@@ -34,6 +34,8 @@
 	ended   chan elmlistener.EndReason
 	// block holds handlers until it is closed, if it is set.
 	block chan struct{}
+	// headOut is set if the head of a response is sent before block holds the handler.
+	headOut bool
 	// received gets a value when a handler has read a request.
 	received chan struct{}
 }
@@ -56,6 +58,9 @@
 	server := &http.Server{ConnState: f.listener.OnStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, _ := io.ReadAll(r.Body)
 		f.received <- struct{}{}
+		if f.headOut {
+			_ = http.NewResponseController(w).Flush()
+		}
 		if f.block != nil {
 			<-f.block
 		}
