Accept queued connections before the listening socket closes

Callers that connected while a busy router or entry began to drain got "connection reset by peer" for whole requests.

A drain closed the listening socket at once. The kernel then resets the connections that it has accepted and the process has not.

A drain now ends the pending call of Accept, which accepts what is in the queue until that is empty, and then closes the socket. It asks the kernel for each connection and not a timer, so a process that is held up meanwhile serves them too. At most 4096 connections are accepted this way, so callers that connect all the time can't hold a drain up.

--- a/internal/wire/elmlistener/elmlistener.go
+++ b/internal/wire/elmlistener/elmlistener.go
@@ -28,8 +28,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ErrListener reports that connections are still open after a drain.
@@ -45,6 +49,9 @@
 	mutex       sync.Mutex
 	connections map[*conn]struct{}
 	draining    bool
+	// stopped is set when the listening socket is closed, after queueAccepted connections.
+	stopped       bool
+	queueAccepted atomic.Int32
 	// drained is closed when the listener is draining and has no connections left.
 	drained     chan struct{}
 	drainedOnce sync.Once
@@ -84,6 +91,11 @@
 	// defaultIdleLimit and defaultHeadLimit apply without an option.
 	defaultIdleLimit = time.Minute
 	defaultHeadLimit = 15 * time.Second
+	// acceptTime is the time to accept a queued connection.
+	acceptTime = 100 * time.Millisecond
+	// maxQueue is the size of the largest accept queue. Callers that connect all the time must
+	// not keep a drain from ending.
+	maxQueue = 4096
 )
 
 // New returns a Listener that accepts the TCP connections of another listener.
@@ -102,21 +114,70 @@
 	return l
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. During a drain it returns the connections that are in the
+// accept queue, and then closes the listening socket.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err //nolint:wrapcheck // The server accepts again after temporary errors.
+	for {
+		if l.isDraining() && !l.acceptQueued() {
+			_ = l.Close() // It fails only if the listener is closed already.
+			return nil, net.ErrClosed
+		}
+		accepted, err := l.Listener.Accept()
+		if err == nil {
+			return l.track(accepted), nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err //nolint:wrapcheck // The server accepts again after temporary errors.
+		}
 	}
+}
+
+// track returns an accepted connection as one of the listener's.
+func (l *Listener) track(accepted net.Conn) net.Conn {
 	tcp, ok := accepted.(*net.TCPConn)
 	if !ok {
-		return accepted, nil
+		return accepted
 	}
 	now := time.Now()
 	c := &conn{TCPConn: tcp, listener: l, accepted: now, idleSince: now, idleLimit: l.idleLimit()}
 	l.add(c)
 	c.refresh()
-	return c, nil
+	return c
+}
+
+// acceptQueued reports whether a connection is in the accept queue and may be accepted.
+func (l *Listener) acceptQueued() bool {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok || l.queueAccepted.Add(1) > maxQueue {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := 0
+	err = raw.Control(func(fd uintptr) {
+		queued, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) //nolint:gosec // Descriptors are small.
+	})
+	return err == nil && queued > 0 && tcp.SetDeadline(time.Now().Add(acceptTime)) == nil
+}
+
+// emptyQueue ends a call of Accept that waits, which then finds the queue.
+func (l *Listener) emptyQueue() {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok || tcp.SetDeadline(time.Now()) != nil {
+		_ = l.Close()
+	}
+}
+
+// Close closes the listening socket.
+func (l *Listener) Close() error {
+	err := l.Listener.Close()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.stopped = true
+	l.checkDrained()
+	return err //nolint:wrapcheck // It is the error of the net package.
 }
 
 func (l *Listener) add(c *conn) {
@@ -140,17 +201,19 @@
 	}
 }
 
-// Drain stops accepting connections and closes each open one between two requests. It
-// waits until all are closed or the context ends.
+// Drain stops accepting connections, except those in the accept queue, and closes each open
+// one between two requests. It waits until all are closed or the context ends.
 func (l *Listener) Drain(ctx context.Context) error {
-	_ = l.Close() // It fails only if the listener is closed already.
-	for _, c := range l.startDraining() {
+	open := l.startDraining()
+	l.emptyQueue()
+	for _, c := range open {
 		c.refresh()
 	}
 	select {
 	case <-l.drained:
 		return nil
 	case <-ctx.Done():
+		_ = l.Close()
 		return fmt.Errorf("%w: %d connections are still open: %w", ErrListener, l.open(), context.Cause(ctx))
 	}
 }
@@ -167,7 +230,6 @@
 	for c := range l.connections {
 		open = append(open, c)
 	}
-	l.checkDrained()
 	return open
 }
 
@@ -196,7 +258,7 @@
 
 // checkDrained closes drained if nothing is left to wait for. The mutex must be held.
 func (l *Listener) checkDrained() {
-	if l.draining && len(l.connections) == 0 {
+	if l.draining && l.stopped && len(l.connections) == 0 {
 		l.drainedOnce.Do(func() { close(l.drained) })
 	}
 }
