Read what has arrived before a deadline ends a connection

A caller whose request reached a busy or suspended router lost its connection when the process went on after the 15 s for a head, although the rest of the head was in the socket.

The listener looked at the socket once more only between two requests. The deadlines of a head and of a body counted by the clock of a process that had not read.

Each deadline now counts only when nothing that has arrived is left to read. Bytes that come later do not move it. The deadline with which net/http stops reading ahead counts at once, as before.

--- a/internal/wire/elmlistener/conn.go
+++ b/internal/wire/elmlistener/conn.go
@@ -126,22 +126,27 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := time.Now()
-	if c.phase != awaiting || isPast(c.serverDeadline, now) {
-		return 0, os.ErrDeadlineExceeded
-	}
+	idle := c.phase == awaiting && !isPast(c.serverDeadline, now)
 	draining := c.listener.isDraining()
-	c.idleLimit = max(c.idleLimit, c.listener.idleLimit())
-	if now.Before(c.idleEnd(draining)) {
-		return 0, c.setReadDeadline()
+	if idle {
+		c.idleLimit = max(c.idleLimit, c.listener.idleLimit())
+		if now.Before(c.idleEnd(draining)) {
+			return 0, c.setReadDeadline()
+		}
+	}
+	if c.phase == serving && len(p) == readAheadSize {
+		return 0, os.ErrDeadlineExceeded // The server stops reading ahead.
 	}
-	// A request may have come that a busy process has not read in time.
+	// A busy process may not have read in time what has arrived.
 	n, err := c.readAvailable(p)
-	if n > 0 || err != nil {
+	switch {
+	case n > 0 || err != nil:
 		return n, err
-	}
-	if draining {
+	case !idle:
+		return 0, os.ErrDeadlineExceeded
+	case draining:
 		c.listener.ended(EndedDraining)
-	} else {
+	default:
 		c.listener.ended(EndedIdle)
 	}
 	return 0, io.EOF
@@ -166,14 +171,14 @@
 	case err != nil:
 		return 0, err
 	case errors.Is(readErr, syscall.EAGAIN):
-		return 0, nil
+		n = 0
 	case readErr != nil:
 		return 0, readErr
 	case n == 0:
 		c.final = true
 		return 0, io.EOF
 	}
-	return n, nil
+	return n, c.setReadDeadline()
 }
 
 // receive records that bytes were read, ahead or as the server needed them.
