Answer requests whose body does not come in

A caller whose body stopped on the way got no answer: no 408 at the time limit, and no 401 or 404 if the request was to be refused. Its connection stayed open, and a drain waited for it until the end of the grace.

The router read bodies without a deadline. net/http reads up to 256 KiB of the body of a refused request before it sends the refusal, also without one.

The body of an admitted request may now take until the request's time limit (408 then), and the rest of a refused one's 2 s, less than the 5 s in which the refusal must be written. What has arrived at that time is still read.

TestBodyThatStops: its 4 cases had no answer after 4 s before; now 408 after the time limit of 1 s and 404 after 2 s.

--- a/internal/forward/elmrouter/connection_test.go
+++ b/internal/forward/elmrouter/connection_test.go
@@ -95,3 +95,34 @@
 		})
 	}
 }
+
+// Guards against a request without an answer whose body does not come in, whether it is
+// admitted or refused.
+func TestBodyThatStops(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, nil)
+	for name, c := range map[string]struct {
+		target string
+		sent   string
+		status int
+	}{
+		"admitted":                   {"/once/a", "a", http.StatusRequestTimeout},
+		"unknown route":              {"/none/a", "a", http.StatusNotFound},
+		"admitted, nothing sent":     {"/once/a", "", http.StatusRequestTimeout},
+		"route without a time limit": {"/open/a", "a", http.StatusRequestTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn, reader := f.dialCaller()
+			_, _ = io.WriteString(conn, rawUpload(c.target, "1000", 2)+c.sent)
+			_ = conn.SetReadDeadline(time.Now().Add(4 * time.Second))
+			got := readResult(reader)
+			if got.err != nil || got.status != c.status {
+				t.Fatalf("got %+v", got)
+			}
+			if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection is still open: %v", err)
+			}
+		})
+	}
+}
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -285,6 +285,12 @@
 		target, host, attempt, credential, deadline)
 }
 
+// rawUpload returns the head of a request with a body.
+func rawUpload(target, deadline string, length int) string {
+	request := rawRequest(target, "upload", deadline)
+	return strings.Replace(request, "Content-Length: 0", fmt.Sprintf("Content-Length: %d", length), 1)
+}
+
 // readResult reads an answer from a connection of a caller.
 func readResult(reader *bufio.Reader) result {
 	response, err := http.ReadResponse(reader, nil)
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -24,6 +24,9 @@
 	// writeMargin is the time in which a caller reads the end of a response that was made
 	// within the request's time limit, or a refusal.
 	writeMargin = 5 * time.Second
+	// refusedBodyTime is the time in which the rest of a refused request's body may come in. It
+	// is shorter than writeMargin, because net/http reads the body before it sends the refusal.
+	refusedBodyTime = 2 * time.Second
 	// staleAge is the snapshot age beyond which an unknown route or credential may
 	// belong to a newer configuration.
 	staleAge = 3 * time.Second
@@ -77,7 +80,7 @@
 	requestInfo := platform.ReadRequestInfo(request.Header)
 	snapshot := r.follower.Snapshot()
 	limitWriting(w, writeMargin)
-	a, err := r.admit(request, requestInfo, snapshot, began)
+	a, err := r.admit(w, request, requestInfo, snapshot, began)
 	if err == nil && r.isLate(a, elmclock.Now()) {
 		err = refusalError{http.StatusServiceUnavailable, reasonStopping}
 	}
@@ -85,6 +88,7 @@
 		var refused refusalError
 		if errors.As(err, &refused) {
 			limitWriting(w, writeMargin)
+			limitReading(w, request, refusedBodyTime)
 			r.refuse(w, requestInfo, refused, snapshot.Age(began), elmclock.Now()-began)
 		}
 		return
@@ -109,8 +113,16 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit)) // Not all writers support deadlines.
 }
 
+// limitReading bounds the time in which the body of a request comes in. The end of the body
+// ends the limit.
+func limitReading(w http.ResponseWriter, request *http.Request, limit time.Duration) {
+	if request.Body != http.NoBody { // Otherwise net/http is reading already, to notice that the caller disconnects.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit)) // Not all writers support deadlines.
+	}
+}
+
 // admit checks a request against the configuration and reads its body.
-func (r *Router) admit(request *http.Request, requestInfo platform.RequestInfo, snapshot elmsnapshot.Snapshot, began time.Duration) (admitted, error) {
+func (r *Router) admit(w http.ResponseWriter, request *http.Request, requestInfo platform.RequestInfo, snapshot elmsnapshot.Snapshot, began time.Duration) (admitted, error) {
 	a := admitted{requestInfo: requestInfo, began: began}
 	if !snapshot.HasConfig() {
 		return a, refusalError{http.StatusServiceUnavailable, reasonUnknownConfig}
@@ -144,6 +156,7 @@
 	if limits.HeaderBytes > 0 && headerSize(request) > limits.HeaderBytes {
 		return a, refusalError{http.StatusRequestHeaderFieldsTooLarge, reasonHeaders}
 	}
+	limitReading(w, request, a.timeLimit-(elmclock.Now()-began))
 	var err error
 	a.body, err = readBody(request, limits.BodyBytes)
 	a.signatures = signaturesOf(request, a)
