Decide during the silence of an endpoint whether its request may fail

What callers saw: an endpoint that has not read a long body for a second, and would have gone on, cost the request its answer although its time was not over. At a service with one endpoint, with the other one gone meanwhile, or with the retry budget spent, idempotent requests and resumable streams got 502 "unknown". Worse where the endpoint answers ahead of the body: the caller's connection ended without any answer, also with a second endpoint (an idempotent response can't be continued elsewhere once its head is out), and a stream was aborted after its first event.

Cause: TCP_USER_TIMEOUT was chosen at the start of an attempt, from the route and the number of attempts. Whether the request could go elsewhere depends on other endpoints, the retry budget and what the caller has got, and all of these change while the attempt runs.

Fix: each exchange starts with its whole time limit. A loop of the router looks at the attempts at endpoints that have been silent for 300 ms, each 150 ms, and lets those fail soon that could continue elsewhere now: another endpoint accepts them, the retry budget is left for all such attempts at that endpoint (they fail together), and nothing was sent to the caller that can't be continued. What pins an attempt sets the whole limit at once. A lost peer is still noticed about a second after the silence began, since the limit is set before the third retransmission.

Weighed: to take the slot and the retry when the limit is set, as streams do that leave slow ranks. Nothing but TCP_USER_TIMEOUT tells a lost peer from a slow answer, so every request of more than 300 ms would hold a second slot and a retry: at a budget of one retry in five requests it would be spent by requests that need none. What remains is a slot elsewhere that is taken between the last look and the failure, 150 ms at most.

TestSilentEndpoint sets the choice during the silence now, and asks for the same results.

--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -23,6 +23,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,8 +46,8 @@
 	// accept connections within milliseconds.
 	dialTimeout = 500 * time.Millisecond
 	// unackedTimeout is how long the data of a request that can be sent elsewhere may
-	// stay unacknowledged before the connection is closed: half of the time after which
-	// callers give up on a stream.
+	// stay unacknowledged before the connection is closed, and how long an idle connection
+	// may be unreachable: half of the time after which callers give up on a stream.
 	unackedTimeout = time.Second
 	// defaultIdleTimeout applies if an endpoint announces no idle timeout.
 	defaultIdleTimeout = 3 * time.Second
@@ -79,9 +80,8 @@
 	Body   []byte
 	// Attempt identifies the request. Responses to other attempts are skipped.
 	Attempt string
-	// Movable means that the request may be sent to another endpoint if this one can't be
-	// reached. Others wait for an endpoint that is silent until their context ends.
-	Movable bool
+	// Watch observes the exchange, unless it is nil.
+	Watch *Watch
 }
 
 // Client sends requests and keeps idle connections to endpoints for reuse. It is
@@ -135,18 +135,23 @@
 	unacked time.Duration
 	// carried holds the attempts of all requests that were sent on the connection.
 	carried []string
+	// heardAt is when bytes last arrived, or the exchange began, since processStart.
+	heardAt atomic.Int64
 }
 
 // Read reads from the connection, with a limit while a head is read.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.inHead {
-		return c.Conn.Read(p)
+	if c.inHead {
+		p = p[:min(len(p), c.headBytes)]
+		if len(p) == 0 {
+			return 0, errHeadTooLong
+		}
 	}
-	if c.headBytes == 0 {
-		return 0, errHeadTooLong
+	n, err := c.Conn.Read(p)
+	c.heard()
+	if c.inHead {
+		c.headBytes -= n
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headBytes)])
-	c.headBytes -= n
 	return n, err
 }
 
@@ -158,29 +163,30 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
 	c.carried = append(c.carried, r.Attempt)
-	c.limitUnacked(unackedLimit(ctx, r))
+	watch := r.Watch
+	if watch == nil {
+		watch = &Watch{}
+	}
+	watch.begin(ctx, c)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	sent := make(chan error, 1)
 	if err = send(c, r, sent); err != nil {
 		stop()
+		watch.end()
 		_ = c.Close()
 		return nil, err
 	}
 	response, err := cl.readResponse(c, r) //nolint:bodyclose // The returned value owns the connection.
 	if err != nil {
 		stop()
+		watch.end()
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	return &Response{Status: response.StatusCode, Header: response.Header, client: cl, conn: c, response: response, stop: stop, sent: sent}, nil
-}
-
-// unackedLimit returns how long the data of a request may stay unacknowledged.
-func unackedLimit(ctx context.Context, r Request) time.Duration {
-	if deadline, ok := ctx.Deadline(); ok && !r.Movable {
-		return max(unackedTimeout, time.Until(deadline))
-	}
-	return unackedTimeout
+	return &Response{
+		Status: response.StatusCode, Header: response.Header,
+		client: cl, conn: c, watch: watch, response: response, stop: stop, sent: sent,
+	}, nil
 }
 
 // limitUnacked sets how long data may stay unacknowledged.
--- a/internal/forward/elmexchange/response.go
+++ b/internal/forward/elmexchange/response.go
@@ -14,6 +14,7 @@
 
 	client   *Client
 	conn     *conn
+	watch    *Watch
 	response *http.Response
 	stop     func() bool
 	sent     <-chan error
@@ -92,6 +93,7 @@
 // Close ends the exchange. It keeps the connection for reuse if the request was
 // sent and the response read completely and the endpoint keeps it open.
 func (r *Response) Close() {
+	r.watch.end()
 	reusable := !r.conn.expires.IsZero() && len(r.conn.carried) < maxCarried
 	if !r.stop() || !r.ended || r.response.Close || !reusable || !r.requestSent() {
 		_ = r.conn.Close()
--- a/internal/forward/elmexchange/silent_test.go
+++ b/internal/forward/elmexchange/silent_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/elmcove/elmcove/internal/forward/elmexchange"
 )
 
 // silence is how long a sound endpoint may be silent, with a margin.
@@ -19,17 +21,19 @@
 		movable bool
 		whole   bool
 	}{
-		"body fits the socket buffers":              {size: 100, whole: true},
-		"body fills the socket buffers":             {size: 16 << 20, whole: true},
-		"body fits the socket buffers, movable":     {size: 100, movable: true, whole: true},
-		"body fills the buffers, can be sent again": {size: 16 << 20, movable: true},
+		"body fits the socket buffers":           {size: 100, whole: true},
+		"body fills the socket buffers":          {size: 16 << 20, whole: true},
+		"body fits the socket buffers, movable":  {size: 100, movable: true, whole: true},
+		"body fills the socket buffers, movable": {size: 16 << 20, movable: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			opened := 0
 			e := newEndpointAfter(t, silence, []string{framed["length"]})
 			r := request("1")
-			r.Movable, r.Body = c.movable, bytes.Repeat([]byte("x"), c.size)
+			r.Watch, r.Body = &elmexchange.Watch{}, bytes.Repeat([]byte("x"), c.size)
+			decide := time.AfterFunc(silence/5, func() { r.Watch.SetMovable(c.movable) })
+			defer decide.Stop()
 			ctx, cancel := context.WithTimeout(t.Context(), 3*silence)
 			defer cancel()
 			began := time.Now()
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -462,18 +462,23 @@
 // RecordRequest records a request of a caller to a service.
 func (p *Placer) RecordRequest(name string, now time.Duration) { p.service(name).requests.Add(now) }
 
-// TakeRetry reports whether a request may be sent to one more endpoint, and if so
-// counts it against this entry's share of the retry budget.
-func (p *Placer) TakeRetry(name string, now time.Duration) bool {
+// CanRetry reports whether this entry's share of the retry budget is left for n requests.
+func (p *Placer) CanRetry(name string, n int, now time.Duration) bool {
 	s := p.service(name)
 	burst := startRetryBurst
 	if p.shares.IsSettled(now) {
 		burst = p.shares.Share(name, p.settings.RetryBurst*usableLimitRatio, p.settings.RetryWindow, now)
 	}
 	allowed := p.settings.RetryRatio*usableLimitRatio*float64(s.requests.Sum(now)) + float64(burst)
-	if float64(s.retries.Sum(now)+1) > allowed {
+	return float64(s.retries.Sum(now)+n) <= allowed
+}
+
+// TakeRetry reports whether a request may be sent to one more endpoint, and if so
+// counts it against this entry's share of the retry budget.
+func (p *Placer) TakeRetry(name string, now time.Duration) bool {
+	if !p.CanRetry(name, 1, now) {
 		return false
 	}
-	s.retries.Add(now)
+	p.service(name).retries.Add(now)
 	return true
 }
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -225,16 +225,10 @@
 	}
 	now := elmclock.Now()
 	snapshot := d.router.follower.Snapshot()
-	members := snapshot.Members(d.service.Name, now)
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
-	query := d.query(c.Tried)
-	d.member, d.verdict = d.router.placer.Pick(query, members, now)
-	switch d.verdict {
-	case elmplace.NoEndpoint, elmplace.Paused, elmplace.Leaving:
-		members = snapshot.LastResort(d.service.Name, now)
-		d.member, d.verdict = d.router.placer.Pick(query, members, now)
-	}
+	var members []elmsnapshot.Member
+	d.member, members, d.verdict = d.router.pick(d.query(c.Tried), snapshot, now)
 	switch d.verdict {
 	case elmplace.Paused:
 		d.pause = d.router.placer.PauseRemaining(members, now)
@@ -252,6 +246,19 @@
 	return elmlifecycle.Placed{Endpoint: d.member.ID}
 }
 
+// pick chooses an endpoint among the members, or among those of the last resort if none is
+// usable, and returns those as well. The mutex must be held.
+func (r *Router) pick(q elmplace.Query, snapshot elmsnapshot.Snapshot, now time.Duration) (elmsnapshot.Member, []elmsnapshot.Member, elmplace.Verdict) {
+	members := snapshot.Members(q.Service.Name, now)
+	member, verdict := r.placer.Pick(q, members, now)
+	switch verdict {
+	case elmplace.NoEndpoint, elmplace.Paused, elmplace.Leaving:
+		members = snapshot.LastResort(q.Service.Name, now)
+		member, verdict = r.placer.Pick(q, members, now)
+	}
+	return member, members, verdict
+}
+
 // query describes the request to the placement.
 func (d *delivery) query(tried []string) elmplace.Query {
 	return elmplace.Query{Service: d.service, Tried: tried, CallerRetry: d.callerRetry, Signatures: d.signatures}
@@ -301,10 +308,11 @@
 		d.log(elmlog.RequestResumed)
 	}
 	d.progressFrom, d.progressTo = 0, 0
-	response, err := d.router.exchange.Do(d.beginAttempt(), d.member.Address, elmexchange.Request{
+	ctx, watch := d.beginAttempt()
+	response, err := d.router.exchange.Do(ctx, d.member.Address, elmexchange.Request{
 		Method: d.request.Method, Target: d.request.RequestURI, Host: d.request.Host,
 		Header: platform.ForwardedRequestHeaders(d.request.Header, forwardInfo), Body: d.body, Attempt: d.requestInfo.Attempt,
-		Movable: d.route.Retryable() && len(d.lifecycle.Tried()) < d.route.Attempts,
+		Watch: watch,
 	})
 	if err != nil {
 		return d.exchangeFailed(err)
@@ -341,7 +349,8 @@
 func (d *delivery) checkHead(resumed bool) elmlifecycle.Message {
 	responseInfo := platform.ReadResponseInfo(d.response.Status, d.response.Header)
 	d.recordAnnouncements(responseInfo)
-	if !responseInfo.NotRun && !elmevents.IsStream(d.response.Header.Get("Content-Type")) && !d.pin() {
+	continuable := d.route.Resumable && elmevents.IsStream(d.response.Header.Get("Content-Type"))
+	if !responseInfo.NotRun && !continuable && !d.pin() {
 		d.migrate()
 		return elmlifecycle.ResponseLost{}
 	}
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -99,7 +99,7 @@
 	mutex  sync.Mutex
 	placer *elmplace.Placer
 	relay  *elmrelay.Relay
-	// attempts holds the attempts of streams that may continue at another endpoint.
+	// attempts holds the attempts of requests that may continue at another endpoint.
 	attempts map[*attempt]struct{}
 	// broken holds the services whose groups are polled because they are broken.
 	broken map[string]struct{}
@@ -214,6 +214,7 @@
 	go r.board.Run(base)
 	go r.watchNotices(base)
 	go r.pollGroups(base)
+	go r.watchSilences(base)
 	planning, endPlanning := context.WithCancel(base)
 	defer endPlanning()
 	go elmplanner.New(r.settings, r.store, r.follower.Snapshot, r.logger, r.guard).Run(planning)
--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -29,10 +29,12 @@
 	endpoints []*stand.Endpoint
 	hosts     []*stand.Host
 	addresses map[string]string
-	settings  platform.Settings
-	log       *logBuffer
-	stop      context.CancelFunc
-	done      chan error
+	// slots is the number of slots with which endpoints are listed.
+	slots    int
+	settings platform.Settings
+	log      *logBuffer
+	stop     context.CancelFunc
+	done     chan error
 }
 
 // logBuffer collects the log output of a router.
@@ -100,7 +102,7 @@
 // newFixture starts a router with n endpoints and waits until it is ready.
 func newFixture(t *testing.T, n int, change func(*platform.Settings)) *fixture {
 	t.Helper()
-	f := &fixture{t: t, store: stand.NewStore(), log: &logBuffer{}, addresses: map[string]string{}, done: make(chan error, 1)}
+	f := &fixture{t: t, store: stand.NewStore(), log: &logBuffer{}, addresses: map[string]string{}, slots: 4, done: make(chan error, 1)}
 	storeServer := httptest.NewServer(f.store)
 	t.Cleanup(storeServer.Close)
 	for i := range n {
@@ -177,7 +179,7 @@
 // milliseconds.
 func (f *fixture) listIncarnation(id, state string, started int64) {
 	entry, _ := json.Marshal(map[string]any{
-		"service": "desk", "address": f.addresses[id], "zone": "home", "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": started,
+		"service": "desk", "address": f.addresses[id], "zone": "home", "slots": f.slots, "state": state, "coldLeftMs": 0, "sequence": 1, "born": started,
 	})
 	f.store.Put("servers/"+id, entry)
 }
--- a/internal/forward/elmrouter/migrate.go
+++ b/internal/forward/elmrouter/migrate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/forward/elmexchange"
 	"github.com/elmcove/elmcove/internal/forward/elmplace"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
@@ -14,31 +15,44 @@
 // endpoint.
 var errStreamMigrated = errors.New("stream moved away from a slow rank")
 
-// attempt is one attempt of a stream at an endpoint that may continue elsewhere. The
-// router's mutex guards it.
+const (
+	// minSilence is how long an attempt is silent before it is decided whether the request
+	// may continue elsewhere, and watchInterval the time until that is decided again. A lost
+	// peer is noticed a second after the silence began if both end before the third
+	// retransmission, 600 ms after it.
+	minSilence    = 300 * time.Millisecond
+	watchInterval = 150 * time.Millisecond
+)
+
+// attempt is one attempt of a request that may continue at another endpoint. The router's
+// mutex guards it.
 type attempt struct {
 	member elmsnapshot.Member
 	query  elmplace.Query
+	watch  *elmexchange.Watch
 	cancel context.CancelCauseFunc
+	// resumable means that the request is for a resumable stream.
+	resumable bool
 	// pinned means that what the caller has got can't be continued elsewhere.
 	pinned bool
 	// reserved is the endpoint whose slot was taken to continue there, if any.
 	reserved *elmsnapshot.Member
 }
 
-// beginAttempt returns the context of the attempt that is being sent. If the stream may
-// continue elsewhere, the attempt is registered for that.
-func (d *delivery) beginAttempt() context.Context {
+// beginAttempt returns the context of the attempt that is being sent, and what observes its
+// exchange. If the request may continue elsewhere, the attempt is registered for that.
+func (d *delivery) beginAttempt() (context.Context, *elmexchange.Watch) {
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	d.cancelAttempt = cancel
-	if !d.route.Resumable || len(d.lifecycle.Tried()) >= d.route.Attempts {
-		return ctx
+	watch := &elmexchange.Watch{}
+	if !d.route.Retryable() || len(d.lifecycle.Tried()) >= d.route.Attempts {
+		return ctx, watch
 	}
-	d.attempt = &attempt{member: d.member, query: d.query(d.lifecycle.Tried()), cancel: cancel}
+	d.attempt = &attempt{member: d.member, query: d.query(d.lifecycle.Tried()), watch: watch, cancel: cancel, resumable: d.route.Resumable}
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
 	d.router.attempts[d.attempt] = struct{}{}
-	return ctx
+	return ctx, watch
 }
 
 // endAttempt ends the current attempt. The slot that was taken to continue it elsewhere
@@ -79,9 +93,37 @@
 	d.router.mutex.Lock()
 	defer d.router.mutex.Unlock()
 	d.attempt.pinned = true
+	d.attempt.watch.SetMovable(false)
 	return d.attempt.reserved == nil
 }
 
+// watchSilences decides for the attempts at silent endpoints whether they may fail soon:
+// only while the request could continue at another endpoint. Otherwise it waits, since a
+// sound endpoint may fall silent and go on.
+func (r *Router) watchSilences(ctx context.Context) {
+	for ctx.Err() == nil {
+		elmclock.Wait(ctx, watchInterval)
+		snapshot, now := r.follower.Snapshot(), elmclock.Now()
+		r.mutex.Lock()
+		movable := map[string]int{} // The number of such attempts at each endpoint, which fail together.
+		for a := range r.attempts {
+			canMove := !a.pinned && a.watch.Silence() >= minSilence &&
+				r.placer.CanRetry(a.query.Service.Name, movable[a.member.ID]+1, now) && r.canPlace(a.query, snapshot, now)
+			a.watch.SetMovable(canMove)
+			if canMove {
+				movable[a.member.ID]++
+			}
+		}
+		r.mutex.Unlock()
+	}
+}
+
+// canPlace reports whether an endpoint accepts a request. The mutex must be held.
+func (r *Router) canPlace(q elmplace.Query, snapshot elmsnapshot.Snapshot, now time.Duration) bool {
+	_, _, verdict := r.pick(q, snapshot, now)
+	return verdict == elmplace.Placed
+}
+
 // leaveSlowRanks moves streams from slow ranks to other endpoints, within the retry
 // budget. In each forward pass all ranks of a group wait for the slow rank's own part,
 // which it has only while it has requests.
@@ -89,7 +131,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for a := range r.attempts {
-		if a.pinned || a.reserved != nil || !r.placer.IsSlow(a.member) {
+		if !a.resumable || a.pinned || a.reserved != nil || !r.placer.IsSlow(a.member) {
 			continue
 		}
 		if member, ok := r.reserve(a.query, snapshot.Members(a.query.Service.Name, now), now); ok {
