Tell callers of a response that broke off before anything of it was sent

What callers saw: a connection that ended without any answer, where the endpoint had broken off its response after the head. A 502 tells that the request may have run, and an idempotent request could have gone elsewhere.

Cause: the router counted the head as sent when it passed it to net/http, which holds back 2 KiB or until the first event, so that nothing had left the router when it gave the response up.

Fix: the head is sent with the first event of a stream, or with the first 2 KiB of another response or all of it. Callers get no byte later than before, since these bytes were held back in any case. A break before is a lost response: retried elsewhere where the request may be, also as a stream without an event, and 502 otherwise. A request is bound to its endpoint (pinned) only from then on. After the first byte nothing has changed: a break ends the caller's connection, a resumable stream is resumed, and a body that its connection ends is whole unless it was reset.

Evidence: TestBreakBeforeTheFirstByteIsTold failed before in 24 of 24 cases (EOF), and holds now. Two tests asked for the old outcome and are as strict about the new one: a short body reset inside (TestUnframedResponses, "body reset") and an endless first event (TestEndlessBody, "event") have to give 502 and nothing else, where they had to give a broken connection; on the code before both fail.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -79,6 +79,10 @@
 	// received is the number of body bytes received in that response.
 	received int
 	splitter elmevents.Splitter
+	// first is the begin of the body, which was read with firstErr, and next reads on.
+	first    []byte
+	firstErr error
+	next     func() ([]byte, error)
 	cause    error
 }
 
@@ -345,15 +349,10 @@
 func (d *delivery) takeRetryIfRetryable() bool { return d.route.Retryable() && d.takeRetry() }
 
 // checkHead returns the message for the head of a response, which has to continue a
-// stream if that is resumed.
+// stream if that is resumed, and otherwise for the begin of its body as well.
 func (d *delivery) checkHead(resumed bool) elmlifecycle.Message {
 	responseInfo := platform.ReadResponseInfo(d.response.Status, d.response.Header)
 	d.recordAnnouncements(responseInfo)
-	continuable := d.route.Resumable && elmevents.IsStream(d.response.Header.Get("Content-Type"))
-	if !responseInfo.NotRun && !continuable && !d.pin() {
-		d.migrate()
-		return elmlifecycle.ResponseLost{}
-	}
 	switch {
 	case responseInfo.NotRun:
 		d.cause = refusalError{d.response.Status, "endpoint rejected the request"}
@@ -385,13 +384,22 @@
 		d.release(elmplace.Failed)
 		return elmlifecycle.ResponseLost{}
 	}
+	if !resumed {
+		if err := d.readFirst(); err != nil {
+			return d.exchangeFailed(err)
+		}
+	}
+	if continuable := d.route.Resumable && d.isStream(); !continuable && !d.pin() {
+		d.migrate()
+		return elmlifecycle.ResponseLost{}
+	}
 	return elmlifecycle.HeadersReceived{}
 }
 
 // continuesStream reports whether the response is an event stream with the status that
 // the caller has.
 func (d *delivery) continuesStream() bool {
-	return d.response.Status == d.status && elmevents.IsStream(d.response.Header.Get("Content-Type"))
+	return d.response.Status == d.status && d.isStream()
 }
 
 // groupBroken reports whether the service's group is broken.
--- a/internal/forward/elmrouter/endless_test.go
+++ b/internal/forward/elmrouter/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -14,9 +15,11 @@
 	for name, c := range map[string]struct {
 		target  string
 		longest time.Duration
+		// status is that of the router's own answer, or 0 if the response breaks off.
+		status int
 	}{
 		"body":  {target: "/once/a", longest: 3 * time.Second}, // The route's timeout is 1.5 s.
-		"event": {target: "/single/a?stream=1", longest: 3 * time.Second},
+		"event": {target: "/single/a?stream=1", longest: 3 * time.Second, status: http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -27,10 +30,13 @@
 			if err == nil {
 				defer response.Body.Close() //nolint:errcheck // The body has been read.
 				var n int64
-				if n, err = io.Copy(io.Discard, response.Body); err == nil {
+				if n, err = io.Copy(io.Discard, response.Body); err == nil && response.StatusCode != c.status {
 					t.Errorf("status %d, %d bytes that look complete", response.StatusCode, n)
 				}
 			}
+			if (err == nil) != (c.status != 0) {
+				t.Errorf("error %v, want status %d", err, c.status)
+			}
 			if elapsed := time.Since(start); elapsed > c.longest {
 				t.Errorf("ended after %v", elapsed)
 			}
--- a/internal/forward/elmrouter/framing_test.go
+++ b/internal/forward/elmrouter/framing_test.go
@@ -21,6 +21,8 @@
 	want     string
 	complete bool
 	runs     int
+	// lost is set if the caller gets the router's answer that the response was lost.
+	lost bool
 }
 
 // truncatedStreams are streams that end inside an event.
@@ -49,7 +51,7 @@
 	"complete body":                         {target: "/once/a", behaviour: stand.CloseAfterResponse, want: "answer of e0", complete: true, runs: 1},
 	"stream reset between events":           {target: "/single/a?stream=1", behaviour: stand.ResetBetweenEvents, want: wholeStream[:42], runs: 1},
 	"resumable stream reset between events": {target: "/stream/a?stream=1", behaviour: stand.ResetBetweenEvents, want: wholeStream, complete: true, runs: 2},
-	"body reset":                            {target: "/once/a", behaviour: stand.ResetInsideBody, runs: 1},
+	"body reset":                            {target: "/once/a", behaviour: stand.ResetInsideBody, runs: 1, lost: true},
 	"stream reset inside an event":          {target: "/single/a?stream=1", behaviour: stand.ResetInsideBody, want: wholeStream[:42], runs: 1},
 }
 
@@ -73,7 +75,11 @@
 	f.endpoints[0].QueueBehaviours(c.behaviour)
 	got := f.call(t.Context(), "POST", c.target, "", nil)
 	body := strings.ReplaceAll(got.body, "of e1", "of e0")
-	if (got.err == nil) != c.complete || body != c.want || c.complete && got.status != http.StatusOK {
+	if c.lost {
+		if got.err != nil || got.status != http.StatusBadGateway || !strings.Contains(body, "unknown") {
+			t.Errorf("status %d, error %v, body %q; want 502; log:\n%s", got.status, got.err, got.body, f.log)
+		}
+	} else if (got.err == nil) != c.complete || body != c.want || c.complete && got.status != http.StatusOK {
 		t.Errorf("status %d, error %v, body %q; want %q; log:\n%s", got.status, got.err, got.body, c.want, f.log)
 	}
 	if n := countRan(f.runs()); n != c.runs {
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -16,13 +16,49 @@
 // errCallerDisconnected reports that the caller has disconnected.
 var errCallerDisconnected = errors.New("caller disconnected")
 
+// heldBack is how many bytes of a response that is no stream net/http holds back before it
+// sends the head.
+const heldBack = 2 << 10
+
+// isStream reports whether the response is a stream.
+func (d *delivery) isStream() bool {
+	return elmevents.IsStream(d.response.Header.Get("Content-Type"))
+}
+
+// open begins to read the body of a response.
+func (d *delivery) open() {
+	d.first, d.firstErr, d.next = nil, nil, d.response.Next
+	if d.isStream() {
+		d.next = elmevents.NewReader(d.response, &d.splitter, d.splitter.Feed).Next
+	}
+}
+
+// readFirst reads the begin of the body before the head is sent: the first event, or as
+// much as would be held back. If the response breaks off before, nothing of it has reached
+// the caller, and readFirst returns the error.
+func (d *delivery) readFirst() error {
+	d.splitter = elmevents.Splitter{}
+	d.open()
+	events := d.isStream()
+	for d.firstErr == nil && (len(d.first) == 0 || !events && len(d.first) < heldBack) {
+		var part []byte
+		part, d.firstErr = d.next()
+		d.first = append(d.first, part...)
+	}
+	if errors.Is(d.firstErr, io.EOF) || events && len(d.first) > 0 {
+		return nil
+	}
+	return d.firstErr
+}
+
 // relay forwards a response to the caller and returns the message for its end.
 func (d *delivery) relay(c elmlifecycle.Relay) elmlifecycle.Message {
 	d.framing, d.received = d.response.Framing(), 0
 	d.router.meter.Count(elmmeter.Responses, "framing", string(d.framing))
-	events := elmevents.IsStream(d.response.Header.Get("Content-Type"))
+	events := d.isStream()
 	if c.Resumed {
 		d.splitter.DropPending()
+		d.open()
 	} else {
 		d.sendHead(events)
 	}
@@ -68,12 +104,7 @@
 // other bodies as they are. It returns nil if the body is whole.
 func (d *delivery) copyBody(events bool) error {
 	defer func() { d.received = d.response.Received() }()
-	next := d.response.Next
-	if events {
-		next = elmevents.NewReader(d.response, &d.splitter, d.splitter.Feed).Next
-	}
-	for {
-		part, err := next()
+	for part, err := d.first, d.firstErr; ; part, err = d.next() {
 		if writeErr := d.writePart(part, events); writeErr != nil {
 			return writeErr
 		}
--- a/internal/forward/elmrouter/response_test.go
+++ b/internal/forward/elmrouter/response_test.go
@@ -162,3 +162,37 @@
 		})
 	}
 }
+
+// Guards against a response that breaks off before anything of it has left the router and
+// ends its caller's connection without an answer.
+func TestBreakBeforeTheFirstByteIsTold(t *testing.T) {
+	const whole = "first event"
+	retried := elmscript.Response("200 OK", whole, attemptLine, sealLine, "Content-Length: 11")
+	for name, broken := range map[string]string{
+		"after the head":             elmscript.Response("200 OK", "", attemptLine, sealLine, "Content-Length: 11"),
+		"after the head, chunks":     elmscript.Response("200 OK", "", attemptLine, sealLine, chunkLine),
+		"inside a short body":        elmscript.Response("200 OK", whole[:6], attemptLine, sealLine, "Content-Length: 11"),
+		"before the first event":     stream("", "Content-Length: 50"),
+		"inside the first event":     stream("id: 1\nda", "Content-Length: 50"),
+		"text as a stream of events": stream(errorText),
+	} {
+		for route, want := range map[string]int{"/once/": 502, "/single/": 502, "/again/": 200, "/stream/": 200} {
+			t.Run(route+" "+name, func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t, 0, nil)
+				f.addScripted(func(x elmscript.Exchange) bool {
+					response := retried
+					if x.Number == 1 {
+						response = broken
+					}
+					respond(x, response)
+					return false
+				}, "e0", "e1")
+				got := f.call(t.Context(), "POST", route+"a", "", nil)
+				if got.err != nil || got.status != want || want == 200 && got.body != whole {
+					t.Errorf("got %d, %q, %v; log:\n%s", got.status, got.body, got.err, f.log)
+				}
+			})
+		}
+	}
+}
