Pass on a failure unless the request has a place elsewhere

What callers saw: 502 "unknown" for an idempotent request whose endpoint had answered 500, at a service with no other endpoint that accepts it. The endpoint's own answer, whole and sealed, was thrown away.

Cause: the answer was discarded once a retry was taken from the budget, before a slot elsewhere was looked for; with none, the request failed.

Fix: the slot and the retry are taken together before the answer is given up, by the mechanism with which streams leave slow ranks. Without both the answer is passed on.

Evidence: TestFailureIsPassedOnWithNowhereToGo/one_endpoint got 502 before and gets 500 now; "retry budget is spent" held on both.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -333,7 +333,8 @@
 		d.release(elmplace.Ignored)
 		return m
 	}
-	if d.migrate() {
+	if d.migrate(elmplace.Ignored) {
+		d.cause = errStreamMigrated
 		return elmlifecycle.ResponseLost{}
 	}
 	d.release(elmplace.Failed)
@@ -378,10 +379,10 @@
 		d.cause = refusalError{d.response.Status, "response does not continue the stream"}
 		d.release(elmplace.Failed)
 		return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
-	case d.response.Status >= http.StatusInternalServerError && d.route.Kind == elmcatalog.Idempotent && d.takeRetryIfRetryable():
+	case d.response.Status >= http.StatusInternalServerError && d.route.Kind == elmcatalog.Idempotent && d.reserve():
 		d.cause = refusalError{d.response.Status, "endpoint failed the request"}
 		d.response.Discard()
-		d.release(elmplace.Failed)
+		d.migrate(elmplace.Failed)
 		return elmlifecycle.ResponseLost{}
 	}
 	if !resumed {
@@ -390,7 +391,8 @@
 		}
 	}
 	if continuable := d.route.Resumable && d.isStream(); !continuable && !d.pin() {
-		d.migrate()
+		d.migrate(elmplace.Ignored)
+		d.cause = errStreamMigrated
 		return elmlifecycle.ResponseLost{}
 	}
 	return elmlifecycle.HeadersReceived{}
--- a/internal/forward/elmrouter/migrate.go
+++ b/internal/forward/elmrouter/migrate.go
@@ -73,15 +73,36 @@
 }
 
 // migrate moves the request to the endpoint whose slot was taken for it, and reports
-// whether there is one.
-func (d *delivery) migrate() bool {
+// whether there is one. The outcome is that at the endpoint which it leaves.
+func (d *delivery) migrate(outcome elmplace.Outcome) bool {
 	member := d.endAttempt()
 	if member == nil {
 		return false
 	}
-	d.release(elmplace.Ignored)
+	d.release(outcome)
 	d.member, d.slotHeld, d.reserved, d.sentAt = *member, true, true, elmclock.Now()
-	d.cause = errStreamMigrated
+	return true
+}
+
+// reserve takes a slot at another endpoint and one retry from the retry budget, to continue
+// the request there, and reports whether there are both.
+func (d *delivery) reserve() bool {
+	if d.attempt == nil {
+		return false
+	}
+	r, now := d.router, elmclock.Now()
+	snapshot := r.follower.Snapshot()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if d.attempt.reserved != nil {
+		return true
+	}
+	member, _, verdict := r.pick(d.attempt.query, snapshot, now)
+	if verdict != elmplace.Placed || !r.placer.TakeRetry(d.service.Name, now) {
+		return false
+	}
+	r.placer.Begin(member.ID, now)
+	d.attempt.reserved = &member
 	return true
 }
 
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -73,7 +73,8 @@
 	if m := d.contextEnded(true); m != nil {
 		return m
 	}
-	if d.migrate() {
+	if d.migrate(elmplace.Ignored) {
+		d.cause = errStreamMigrated
 		return elmlifecycle.Truncated{Resumable: true}
 	}
 	d.release(elmplace.Failed)
--- a/internal/forward/elmrouter/retry_test.go
+++ b/internal/forward/elmrouter/retry_test.go
@@ -164,3 +164,25 @@
 		t.Errorf("the endpoint that resumed the stream got %d of 20 requests", n)
 	}
 }
+
+// Guards against an endpoint's own answer that is given up for a retry, with nowhere to send
+// the request to.
+func TestFailureIsPassedOnWithNowhereToGo(t *testing.T) {
+	for name, c := range map[string]struct {
+		endpoints int
+		budget    float64
+	}{
+		"one endpoint":          {1, 90},
+		"retry budget is spent": {2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, c.endpoints, func(s *platform.Settings) { s.Bounds.RetryRatio, s.Bounds.RetryBurst = 0, c.budget })
+			<-time.After(settleTime + time.Second) // The entry uses its share of the budget.
+			f.next(stand.ServerError)
+			if got := f.call(t.Context(), "POST", "/again/a", "", nil); got.err != nil || got.status != http.StatusInternalServerError {
+				t.Errorf("got %+v; log:\n%s", got, f.log)
+			}
+		})
+	}
+}
