Connect again to the only endpoint if it is late to accept

What callers saw: 503 "not run" after half a second from a service whose only endpoint is sound, but had its accept queue full for 300 ms, or whose router got no processor time until its own timer had passed (seen in 1 to 9 requests a run of TestSilenceOfSoundEndpoints at load averages near 30).

Cause: an endpoint that a request could not be connected to counted as tried, so that the request had nowhere to go although no byte of it was sent.

Fix: if no other endpoint is there, the one that could not be connected to in time is chosen again, within the attempts and the retry budget. Endpoints that refuse connections are not. A service whose only endpoint is unreachable refuses after a second instead of half of one, at two attempts.

Evidence: TestLateToAccept got 503 after 501 ms on all four routes before, and whole answers now.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmcatalog"
@@ -57,6 +59,8 @@
 	// pause is the time until the first paused endpoint accepts requests if verdict is
 	// Paused, or until the quarantine ends if it is Quarantined.
 	pause time.Duration
+	// unconnected is the last endpoint that could not be connected to in time, or "".
+	unconnected string
 	// slotHeld is set while the request occupies a slot of member.
 	slotHeld bool
 	// reserved is set if a slot was taken before the lifecycle asked for one.
@@ -233,6 +237,11 @@
 	defer d.router.mutex.Unlock()
 	var members []elmsnapshot.Member
 	d.member, members, d.verdict = d.router.pick(d.query(c.Tried), snapshot, now)
+	if d.verdict == elmplace.NoEndpoint && d.unconnected != "" {
+		// It may be sound and slow to accept, and it has got no byte of the request.
+		tried := slices.DeleteFunc(slices.Clone(c.Tried), func(id string) bool { return id == d.unconnected })
+		d.member, members, d.verdict = d.router.pick(d.query(tried), snapshot, now)
+	}
 	switch d.verdict {
 	case elmplace.Paused:
 		d.pause = d.router.placer.PauseRemaining(members, now)
@@ -329,6 +338,10 @@
 func (d *delivery) exchangeFailed(err error) elmlifecycle.Message {
 	d.cause = err
 	unsent := errors.Is(err, elmexchange.ErrUnsent)
+	var failure net.Error
+	if unsent && errors.As(err, &failure) && failure.Timeout() {
+		d.unconnected = d.member.ID
+	}
 	if m := d.contextEnded(!unsent); m != nil {
 		d.release(elmplace.Ignored)
 		return m
--- a/internal/forward/elmrouter/silence_test.go
+++ b/internal/forward/elmrouter/silence_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,15 +32,7 @@
 			f.t.Fatal(err)
 		}
 		f.t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go serveSilently(conn, received)
-			}
-		}()
+		go acceptSilent(listener, received)
 		f.addresses[id] = listener.Addr().String()
 		f.listEndpoint(id, "ready")
 	}
@@ -47,6 +40,17 @@
 	return received
 }
 
+// acceptSilent serves the connections of an endpoint.
+func acceptSilent(listener net.Listener, received *atomic.Int32) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serveSilently(conn, received)
+	}
+}
+
 // Places at which an endpoint falls silent.
 const (
 	beforeReading = "before the body is read"
@@ -198,6 +202,36 @@
 	}
 }
 
+// Guards against a request that is refused because the only endpoint, which is sound, is
+// late to accept its connection.
+func TestLateToAccept(t *testing.T) {
+	for _, route := range []string{"/once/", "/again/", "/single/", "/stream/"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 0, nil)
+			f.configure(2, silentConfiguration(2))
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close() //nolint:errcheck // Nothing depends on it.
+			raw, _ := listener.(*net.TCPListener).SyscallConn()
+			_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
+			f.addresses["e0"] = listener.Addr().String()
+			f.listEndpoint("e0", "ready")
+			f.eventually("listed", func() bool { return strings.Contains(f.log.String(), `"endpoint listed"`) })
+			for err == nil { // Until the queue is full.
+				var conn net.Conn
+				if conn, err = net.DialTimeout("tcp4", f.addresses["e0"], 50*time.Millisecond); err == nil {
+					defer conn.Close() //nolint:errcheck // Nothing depends on it.
+				}
+			}
+			time.AfterFunc(300*time.Millisecond, func() { acceptSilent(listener, &atomic.Int32{}) })
+			f.expectWhole(t, silentRequest{route: route})
+		})
+	}
+}
+
 // Guards against requests that wait for an unreachable endpoint until callers give up,
 // although another one is there.
 func TestSilentEndpointIsLeft(t *testing.T) {
