--- a/internal/stand/elmbody/elmbody.go
+++ b/internal/stand/elmbody/elmbody.go
@@ -89,8 +89,8 @@
 	if b.conn == nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tcp, ok := b.conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // Close sends a reset then.
+	if lingering, ok := b.conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0) // Close sends a reset then.
 	}
 	_ = b.conn.Close()
 }
