Decode only what a change of the configuration changes

Each change decoded the whole document three times, and an entry that reads through another one decoded it with each heartbeat of an endpoint.

The routes are one sorted list, from which the next version takes all but what differs, and services and workspaces are shared unless their section has changed. A route is found by binary search in place of a walk over all routes of its host. A text that equals the one in force is not read at all. Peers can fetch while a version is decoded: the lock covers only the exchange of the results.

Of several versions in one read only the latest one is decoded. What peers may fetch is always the version in force: before, it could be a text that was refused or an earlier version of the same read. A refused text is reported once and not with each read of all keys; the event names the first fault, which now may be a repeated section or two routes with the same host and prefix.

--- a/internal/forward/elmcatalog/elmcatalog.go
+++ b/internal/forward/elmcatalog/elmcatalog.go
@@ -4,17 +4,23 @@
 //
 // # Usage
 //
-//	catalog := elmcatalog.New(version, routes, services, workspaces, limits)
+//	catalog, err := elmcatalog.New(version, routes, services, workspaces, limits)
+//	next, err := catalog.WithVersion(version, limits).WithRoutes(removed, added)
 //	route, ok := catalog.Match("covers.example", "/drafts/7")
 //	workspace, ok := catalog.Workspace(credential)
 package elmcatalog
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
 )
 
+// ErrRepeated reports two routes with the same host and prefix.
+var ErrRepeated = errors.New("repeated route")
+
 // Kind classifies the requests of a route by whether they may be retried and by
 // the form of their response.
 type Kind int
@@ -36,7 +42,8 @@
 
 // Route maps requests of a host and path prefix to services.
 type Route struct {
-	Name    string
+	Name string
+	// Host is in lower case.
 	Host    string
 	Prefix  string
 	Kind    Kind
@@ -116,8 +123,9 @@
 
 // Catalog is one immutable version of the configuration.
 type Catalog struct {
-	version    int64
-	hosts      map[string][]Route
+	version int64
+	// routes are sorted by host and prefix.
+	routes     []*Route
 	services   map[string]Service
 	workspaces map[string]Workspace
 	// guarded means that routes need a credential unless they are public.
@@ -126,25 +134,29 @@
 }
 
 // New returns a catalog. If there are no workspaces, no route needs a credential.
-func New(version int64, routes []Route, services []Service, workspaces []Workspace, limits Limits) Catalog {
-	c := Catalog{
-		version:    version,
-		hosts:      map[string][]Route{},
-		services:   map[string]Service{},
-		workspaces: map[string]Workspace{},
-		guarded:    len(workspaces) > 0,
-		limits:     limits,
-	}
-	for _, r := range routes {
-		host := strings.ToLower(r.Host)
-		c.hosts[host] = append(c.hosts[host], r)
-	}
-	for _, list := range c.hosts {
-		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
+func New(version int64, routes []*Route, services []Service, workspaces []Workspace, limits Limits) (Catalog, error) {
+	return Catalog{}.WithVersion(version, limits).WithServices(services).WithWorkspaces(workspaces).WithRoutes(nil, routes)
+}
+
+// WithVersion returns a catalog with another version and other limits.
+func (c Catalog) WithVersion(version int64, limits Limits) Catalog {
+	c.version, c.limits = version, limits
+	return c
+}
+
+// WithServices returns a catalog with other services.
+func (c Catalog) WithServices(services []Service) Catalog {
+	c.services = make(map[string]Service, len(services))
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
+	return c
+}
+
+// WithWorkspaces returns a catalog with other workspaces.
+func (c Catalog) WithWorkspaces(workspaces []Workspace) Catalog {
+	c.guarded = len(workspaces) > 0
+	c.workspaces = make(map[string]Workspace, len(workspaces))
 	for _, w := range workspaces {
 		for _, credential := range w.Credentials {
 			c.workspaces[credential] = w
@@ -153,6 +165,58 @@
 	return c
 }
 
+// WithRoutes returns a catalog without some of its routes and with added ones. The routes
+// must not be modified afterwards.
+func (c Catalog) WithRoutes(removed, added []*Route) (Catalog, error) {
+	if len(removed)+len(added) == 0 {
+		return c, nil
+	}
+	kept := without(c.routes, sorted(removed))
+	list := make([]*Route, 0, len(kept)+len(added))
+	for _, r := range sorted(added) {
+		i, found := slices.BinarySearchFunc(kept, r, compareRoutes)
+		list = append(list, kept[:i]...)
+		kept = kept[i:]
+		if found || len(list) > 0 && compareRoutes(list[len(list)-1], r) == 0 {
+			return Catalog{}, fmt.Errorf("%w: %q: host %q, prefix %q", ErrRepeated, r.Name, r.Host, r.Prefix)
+		}
+		list = append(list, r)
+	}
+	list = append(list, kept...)
+	c.routes = list
+	return c, nil
+}
+
+// without returns sorted routes without some of them, which are sorted too.
+func without(routes, removed []*Route) []*Route {
+	var kept []*Route
+	for _, r := range removed {
+		i, found := slices.BinarySearchFunc(routes, r, compareRoutes)
+		kept = append(kept, routes[:i]...)
+		if found {
+			i++
+		}
+		routes = routes[i:]
+	}
+	if kept == nil {
+		return routes
+	}
+	return append(kept, routes...)
+}
+
+func sorted(routes []*Route) []*Route {
+	routes = slices.Clone(routes)
+	slices.SortStableFunc(routes, compareRoutes)
+	return routes
+}
+
+func compareRoutes(a, b *Route) int {
+	if order := strings.Compare(a.Host, b.Host); order != 0 {
+		return order
+	}
+	return strings.Compare(a.Prefix, b.Prefix)
+}
+
 // Version returns the version of the configuration, or 0 if there is none.
 func (c Catalog) Version() int64 { return c.version }
 
@@ -168,12 +232,31 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
 	}
-	for _, r := range c.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+	wanted := &Route{Host: strings.ToLower(host), Prefix: path}
+	for routes := c.routes; ; {
+		i, found := slices.BinarySearchFunc(routes, wanted, compareRoutes)
+		if found {
+			return *routes[i], true
+		}
+		if i == 0 || routes[i-1].Host != wanted.Host {
+			return Route{}, false
 		}
+		last := routes[i-1]
+		if strings.HasPrefix(path, last.Prefix) {
+			return *last, true
+		}
+		// A route that matches is not after the last one, so its prefix is no longer than
+		// what that one has in common with the path.
+		wanted.Prefix, routes = commonPrefix(wanted.Prefix, last.Prefix), routes[:i]
+	}
+}
+
+func commonPrefix(a, b string) string {
+	n := 0
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
 	}
-	return Route{}, false
+	return a[:n]
 }
 
 // Workspace returns the workspace that a credential belongs to.
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -10,14 +10,19 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
@@ -83,11 +88,17 @@
 	// relayedAt is the last time at which another process fetched the snapshot.
 	relayedAt atomic.Int64
 
-	mutex sync.Mutex
-	items map[string]platform.Item
+	// document is the configuration in force.
+	document platform.Document
+	// refused is the hash of the last configuration that could not be decoded.
+	refused uint64
 	// failing is set while calls to the store fail and no peer is known to have read it
 	// since.
 	failing bool
+
+	// mutex guards items, which only Run writes, together with the snapshot.
+	mutex sync.Mutex
+	items map[string]platform.Item
 }
 
 // SharedReaderFunc fetches what another entry has read from the store after a position. It
@@ -175,7 +186,7 @@
 		down = f.logStoreState(down, err)
 		delay := f.interval(watchInterval) - (elmclock.Now() - sent)
 		if err != nil {
-			f.recordFailure()
+			f.failing = true
 			f.fetchFromPeers(ctx)
 			delay = retryDelay
 		}
@@ -192,13 +203,6 @@
 	return usual
 }
 
-// recordFailure records that a call to the store has failed.
-func (f *Follower) recordFailure() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.failing = true
-}
-
 // logSource logs that this process begins or ends to read through another entry, with
 // the age of the snapshot before.
 func (f *Follower) logSource(shared bool, before elmsnapshot.Snapshot) {
@@ -244,7 +248,7 @@
 		}
 	}
 	if !f.Snapshot().HasConfig() && position.Era > firstEra {
-		items = f.withLatestConfig(ctx, items)
+		items = slices.Concat(f.peerConfigs(ctx), items)
 	}
 	f.applyRead(sent, position, items, true)
 	return nil
@@ -284,12 +288,11 @@
 
 // applyRead applies what this process has read from the store.
 func (f *Follower) applyRead(sent time.Duration, position elmsnapshot.Position, items []platform.Item, full bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	f.apply(elmsnapshot.Read{Sent: sent, Source: elmsnapshot.Direct{Failing: f.failing}, Position: position, Full: full}, items)
 }
 
-// apply updates the snapshot with a read and its items. The mutex must be held.
+// apply updates the snapshot with a read and its items. Peers may fetch the state before
+// while a configuration is decoded.
 func (f *Follower) apply(read elmsnapshot.Read, items []platform.Item) {
 	position := read.Position
 	f.store.LearnEra(position.Era)
@@ -301,10 +304,16 @@
 		f.logger.Event(elmlog.StoreRestored, "era", position.Era, "revision", position.Revision, "known", snapshot.Position().Revision, "age", snapshot.Age(elmclock.Now()))
 	}
 	f.failing = false
-	f.updateItems(items, read.Full)
+	config, changed := f.adoptConfig(items)
 	read.Received, read.Changes = elmclock.Now(), f.decodeChanges(items)
+	if changed {
+		read.Changes = append(read.Changes, elmsnapshot.Configured{Catalog: f.document.Catalog()})
+	}
 	next, notices := snapshot.Update(read)
+	f.mutex.Lock()
+	f.updateItems(items, read.Full, config)
 	f.snapshot.Store(&next)
+	f.mutex.Unlock()
 	for _, n := range notices {
 		f.logNotice(n, next)
 	}
@@ -312,8 +321,7 @@
 
 // updateItems updates the items that peers may fetch. The configuration in force stays
 // among them until a later one, since a store that returned from a copy may have lost it.
-func (f *Follower) updateItems(items []platform.Item, full bool) {
-	config, known := f.items[platform.ConfigKey]
+func (f *Follower) updateItems(items []platform.Item, full bool, config platform.Item) {
 	if full {
 		f.items = map[string]platform.Item{}
 	}
@@ -324,46 +332,68 @@
 		}
 		f.items[i.Key] = i
 	}
-	if known {
-		f.items[platform.ConfigKey] = laterConfig(config, f.items[platform.ConfigKey])
+	delete(f.items, platform.ConfigKey)
+	if config.Key != "" {
+		f.items[platform.ConfigKey] = config
 	}
 }
 
-// laterConfig returns the configuration with the higher version, and the second one if
-// they have the same.
-func laterConfig(a, b platform.Item) platform.Item {
-	if !bytes.Equal(a.Value, b.Value) && configVersion(a) > configVersion(b) {
-		return a
+// adoptConfig decodes the latest one of the configurations in items if it is later than the
+// one in force. It returns the item that is in force then, and whether it is a later one.
+func (f *Follower) adoptConfig(items []platform.Item) (platform.Item, bool) {
+	inForce, known := f.items[platform.ConfigKey]
+	for _, c := range candidates(items) {
+		switch {
+		case known && bytes.Equal(c.Value, inForce.Value):
+			return c.Item, false
+		case known && c.version <= f.document.Catalog().Version():
+			return inForce, false
+		}
+		next, err := f.document.Next(c.Value)
+		if err == nil {
+			f.document = next
+			return c.Item, true
+		}
+		if hash := xxhash.Sum64(c.Value); hash != f.refused {
+			f.refused = hash
+			f.logger.Event(elmlog.ConfigRefused, "revision", c.Revision, "error", err)
+		}
 	}
-	return b
+	return inForce, false
 }
 
-// configVersion returns the version of a configuration, or 0 if it can't be decoded.
-func configVersion(i platform.Item) int64 {
-	catalog, err := platform.DecodeCatalog(i.Value)
-	if err != nil {
-		return 0
+// candidate is a configuration with its version.
+type candidate struct {
+	platform.Item
+
+	version int64
+}
+
+// candidates returns the configurations in items, the latest one first. One whose version
+// can't be read counts as the latest, so that it is reported.
+func candidates(items []platform.Item) []candidate {
+	var list []candidate
+	for _, i := range slices.Backward(items) {
+		if kind, _ := platform.ClassifyKey(i.Key); kind != platform.KeyCatalog || i.Deleted {
+			continue
+		}
+		version, err := platform.CatalogVersion(i.Value)
+		if err != nil {
+			version = math.MaxInt64
+		}
+		list = append(list, candidate{Item: i, version: version})
 	}
-	return catalog.Version()
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.version, a.version) })
+	return list
 }
 
-// decodeChanges decodes items into changes. An endpoint entry that can't be decoded
-// counts as absent.
+// decodeChanges decodes items into changes, apart from configurations. An endpoint entry
+// that can't be decoded counts as absent.
 func (f *Follower) decodeChanges(items []platform.Item) []elmsnapshot.Change {
 	var list []elmsnapshot.Change
 	for _, i := range items {
 		kind, name := platform.ClassifyKey(i.Key)
 		switch kind {
-		case platform.KeyCatalog:
-			if i.Deleted {
-				continue
-			}
-			catalog, err := platform.DecodeCatalog(i.Value)
-			if err != nil {
-				f.logger.Event(elmlog.ConfigRefused, "revision", i.Revision, "error", err)
-				continue
-			}
-			list = append(list, elmsnapshot.Configured{Catalog: catalog})
 		case platform.KeyWithdrawn:
 			list = append(list, elmsnapshot.Withdrawn{Datacentre: name, Withdrawn: !i.Deleted})
 		case platform.KeyEndpoint:
--- a/internal/forward/elmfollower/peers.go
+++ b/internal/forward/elmfollower/peers.go
@@ -92,8 +92,6 @@
 // applyPeerSnapshot applies a snapshot that a peer sent for a requested position. If
 // it has no later position, it only confirms that nothing has changed.
 func (f *Follower) applyPeerSnapshot(s *elmpeer.Snapshot, sent time.Duration, after elmsnapshot.Position) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	if !after.Before(positionOf(s)) {
 		f.failing = false
 		next, _ := f.Snapshot().Update(elmsnapshot.Confirmed{Sent: sent})
@@ -105,7 +103,7 @@
 }
 
 // completeItems returns all items of a peer's snapshot: the changed ones that it
-// contains, and the known ones for its other keys. The mutex must be held.
+// contains, and the known ones for its other keys.
 func (f *Follower) completeItems(s *elmpeer.Snapshot) []platform.Item {
 	items := maps.Clone(f.items)
 	for _, i := range s.GetItems() {
@@ -120,27 +118,16 @@
 	return list
 }
 
-// withLatestConfig replaces the configuration in items by that of a peer if it is later.
-// A store that has returned from a copy may hold an earlier one than the one in force.
-func (f *Follower) withLatestConfig(ctx context.Context, items []platform.Item) []platform.Item {
-	own := slices.IndexFunc(items, func(i platform.Item) bool { return i.Key == platform.ConfigKey })
-	var latest platform.Item
-	if own >= 0 {
-		latest = items[own]
-	}
+// peerConfigs returns the configurations of peers. A store that has returned from a copy may
+// hold an earlier one than the one in force.
+func (f *Follower) peerConfigs(ctx context.Context) []platform.Item {
+	var list []platform.Item
 	for _, s := range f.peers(ctx, elmsnapshot.Position{}) {
 		for _, i := range s.GetItems() {
 			if i.GetKey() == platform.ConfigKey {
-				latest = laterConfig(itemOf(i), latest)
+				list = append(list, itemOf(i))
 			}
 		}
 	}
-	switch {
-	case latest.Key == "":
-	case own < 0:
-		items = append(items, latest)
-	default:
-		items[own] = latest
-	}
-	return items
+	return list
 }
--- a/internal/forward/elmsnapshot/elmsnapshot_test.go
+++ b/internal/forward/elmsnapshot/elmsnapshot_test.go
@@ -12,7 +12,7 @@
 const second = time.Second
 
 func version(n int64) elmsnapshot.Change {
-	return elmsnapshot.Configured{Catalog: elmcatalog.New(n, nil, nil, nil, elmcatalog.Limits{})}
+	return elmsnapshot.Configured{Catalog: elmcatalog.Catalog{}.WithVersion(n, elmcatalog.Limits{})}
 }
 
 func listed(id string, leaving bool) elmsnapshot.Change {
