--- a/internal/forward/elmcatalog/elmcatalog.go
+++ b/internal/forward/elmcatalog/elmcatalog.go
@@ -177,16 +177,23 @@
 		i, found := slices.BinarySearchFunc(kept, r, compareRoutes)
 		list = append(list, kept[:i]...)
 		kept = kept[i:]
-		if found || len(list) > 0 && compareRoutes(list[len(list)-1], r) == 0 {
-			return Catalog{}, fmt.Errorf("%w: %q: host %q, prefix %q", ErrRepeated, r.Name, r.Host, r.Prefix)
-		}
 		list = append(list, r)
+		if found {
+			return Catalog{}, repeated(kept[0], r)
+		}
+		if n := len(list); n > 1 && compareRoutes(list[n-2], r) == 0 {
+			return Catalog{}, repeated(list[n-2], r)
+		}
 	}
 	list = append(list, kept...)
 	c.routes = list
 	return c, nil
 }
 
+func repeated(a, b *Route) error {
+	return fmt.Errorf("%w: %q and %q have host %q and prefix %q", ErrRepeated, a.Name, b.Name, a.Host, a.Prefix)
+}
+
 // without returns sorted routes without some of them, which are sorted too.
 func without(routes, removed []*Route) []*Route {
 	var kept []*Route
@@ -206,7 +213,7 @@
 
 func sorted(routes []*Route) []*Route {
 	routes = slices.Clone(routes)
-	slices.SortStableFunc(routes, compareRoutes)
+	slices.SortFunc(routes, compareRoutes)
 	return routes
 }
 
