Hold the text of a configuration once

A full read in which the configuration had not changed left its text in memory beside the one that the decoded elements refer to: one document more than needed, for entries with the least memory. The item for peers keeps the text in force and takes only the new revision.

TestOneTextIsHeld failed before with 2 texts held of 12 read; now 1.

--- a/internal/forward/elmfollower/adopt_test.go
+++ b/internal/forward/elmfollower/adopt_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"runtime"
 	"slices"
 	"testing"
+	"weak"
 
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
@@ -65,6 +67,33 @@
 	}
 }
 
+// Guards against texts of earlier versions, or of the same one, that stay in memory beside
+// the one in force.
+func TestOneTextIsHeld(t *testing.T) {
+	f := newFollower()
+	var texts []weak.Pointer[byte]
+	for i := range 12 {
+		text := configuration(400, int64(1+i/3)) // Each version is read three times.
+		texts = append(texts, weak.Make(&text[0]))
+		position, items := read(text, int64(1+i))
+		f.ApplyRead(position, items, i%2 == 0)
+		if handed := f.PeerSnapshot(elmsnapshot.Position{}).GetItems(); handed[0].GetRevision() != int64(1+i) {
+			t.Errorf("revision %d handed on, want %d", handed[0].GetRevision(), 1+i)
+		}
+	}
+	runtime.GC()
+	held := 0
+	for _, text := range texts {
+		if text.Value() != nil {
+			held++
+		}
+	}
+	if held != 1 {
+		t.Errorf("%d texts are held", held)
+	}
+	runtime.KeepAlive(f)
+}
+
 // configEvents returns the versions that a log says were adopted, and how many were refused.
 func configEvents(t *testing.T, log *bytes.Buffer) (adopted []int64, refused int) {
 	t.Helper()
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -352,7 +352,8 @@
 	for _, c := range candidates(items) {
 		switch {
 		case known && bytes.Equal(c.Value, inForce.Value):
-			return c.Item, false
+			inForce.Revision = c.Revision // The text stays the one that the document refers to.
+			return inForce, false
 		case known && c.version <= f.document.Catalog().Version():
 			return inForce, false
 		}
