Log what a configuration changed and what it took

To see that a configuration costs too much, operators had only the versions. The event of a configuration in force now also has the numbers of routes, services and workspaces that differ from the version before, the bytes of the document, the time of its decoding, and how many versions of the same read it replaced.

--- a/internal/forward/elmfollower/adopt_test.go
+++ b/internal/forward/elmfollower/adopt_test.go
@@ -53,7 +53,10 @@
 					}
 					f.ApplyRead(elmsnapshot.Position{Revision: int64(i + 1)}, items, full)
 				}
-				adopted, refused := configEvents(t, &log)
+				adopted, refused, changed := configEvents(t, &log)
+				if len(changed) > 1 && changed[1] != 1 || changed[0] != 3 {
+					t.Errorf("routes changed: %v, want 3 and then 1", changed)
+				}
 				latest := c.adopted[len(c.adopted)-1]
 				if !slices.Equal(adopted, c.adopted) || refused != c.refused || f.Snapshot().Catalog().Version() != latest {
 					t.Errorf("version %d, adopted %v, want %v; refused %d, want %d", f.Snapshot().Catalog().Version(), adopted, c.adopted, refused, c.refused)
@@ -94,23 +97,25 @@
 	runtime.KeepAlive(f)
 }
 
-// configEvents returns the versions that a log says were adopted, and how many were refused.
-func configEvents(t *testing.T, log *bytes.Buffer) (adopted []int64, refused int) {
+// configEvents returns the versions that a log says were adopted, how many were refused, and how many
+// routes each of the adopted ones changed.
+func configEvents(t *testing.T, log *bytes.Buffer) (adopted []int64, refused int, changed []int) {
 	t.Helper()
 	for decoder := json.NewDecoder(log); decoder.More(); {
 		var line struct {
 			Event   elmlog.Event `json:"event"`
 			Version int64        `json:"version"`
+			Routes  int          `json:"routes"`
 		}
 		if err := decoder.Decode(&line); err != nil {
 			t.Fatal(err)
 		}
 		switch line.Event {
 		case elmlog.ConfigAdopted:
-			adopted = append(adopted, line.Version)
+			adopted, changed = append(adopted, line.Version), append(changed, line.Routes)
 		case elmlog.ConfigRefused:
 			refused++
 		}
 	}
-	return adopted, refused
+	return adopted, refused, changed
 }
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -90,6 +90,7 @@
 
 	// document is the configuration in force.
 	document platform.Document
+	build    build
 	// refused is the hash of the last configuration that could not be decoded.
 	refused uint64
 	// failedAt is when the last call to the store that failed was sent, or 0 if this process
@@ -349,7 +350,8 @@
 // one in force. It returns the item that is in force then, and whether it is a later one.
 func (f *Follower) adoptConfig(items []platform.Item) (platform.Item, bool) {
 	inForce, known := f.items[platform.ConfigKey]
-	for _, c := range candidates(items) {
+	list := candidates(items)
+	for i, c := range list {
 		switch {
 		case known && bytes.Equal(c.Value, inForce.Value):
 			inForce.Revision = c.Revision // The text stays the one that the document refers to.
@@ -357,9 +359,11 @@
 		case known && c.version <= f.document.Catalog().Version():
 			return inForce, false
 		}
+		started := elmclock.Now()
 		next, err := f.document.Next(c.Value)
 		if err == nil {
 			f.document = next
+			f.build = build{bytes: len(c.Value), took: elmclock.Now() - started, skipped: len(list) - 1 - i}
 			return c.Item, true
 		}
 		if hash := xxhash.Sum64(c.Value); hash != f.refused {
@@ -370,6 +374,13 @@
 	return inForce, false
 }
 
+// build describes the decoding of the configuration in force, for the log.
+type build struct {
+	bytes   int
+	took    time.Duration
+	skipped int
+}
+
 // candidate is a configuration with its version.
 type candidate struct {
 	platform.Item
@@ -435,7 +446,10 @@
 	revision := snapshot.Position().Revision
 	switch n := n.(type) {
 	case elmsnapshot.Adopted:
-		f.logger.Event(elmlog.ConfigAdopted, "version", n.Version, "revision", revision)
+		changed := f.document.Changed()
+		f.logger.Event(elmlog.ConfigAdopted, "version", n.Version, "revision", revision,
+			"routes", changed.Routes, "services", changed.Services, "workspaces", changed.Workspaces,
+			"bytes", f.build.bytes, "took", f.build.took, "skipped", f.build.skipped)
 	case elmsnapshot.Appeared:
 		e := n.Endpoint
 		f.logger.Event(elmlog.EndpointListed, "endpoint", e.ID, "service", e.Service, "address", e.Address, "cold", e.ColdRemaining, "revision", revision)
