Catch signals before anything else is done

A SIGHUP ended an entry or an agent of the own interface with all its requests, and a process on the platform that was reading its settings. A SIGTERM at that time ended a process with a signal in place of status 0.

SIGHUP was caught on the platform only, by a goroutine that started after the settings were read, and SIGTERM after that as well.

Both kinds of processes now catch the signals first, read their settings again at SIGHUP (events 1005 and 1006), and end with status 0 if they are stopped before they run.

TestSignals: before, SIGHUP or SIGTERM during the reading of the settings ended the test process in each case, and SIGHUP later did for the own interface.

--- a/internal/command/elmcommand/onplatform.go
+++ b/internal/command/elmcommand/onplatform.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 
 	"github.com/elmcove/elmcove/internal/expert/elmrankagent"
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
@@ -119,8 +117,10 @@
 // runOnPlatform runs a process until SIGTERM or SIGINT starts draining. The process
 // logs through a sink, so that a slow log reader does not block it.
 func runOnPlatform(ctx context.Context, path string, run runFunc) error {
+	ctx, caught := catchSignals(ctx)
+	defer caught.release()
 	settings, err := platform.Load(path)
-	if err != nil {
+	if err != nil || ctx.Err() != nil {
 		return err
 	}
 	sink := elmsink.New(os.Stdout)
@@ -129,10 +129,13 @@
 	var wait sync.WaitGroup
 	reportDropped := func(n int64) { logger.Event(elmlog.LinesDropped, "lines", n) }
 	wait.Go(func() { sink.Run(background, reportDropped) })
-	wait.Go(func() { watchSettings(background, path, logger) })
-	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	wait.Go(func() {
+		caught.watchSettings(background, path, func() error {
+			_, loadErr := platform.Load(path)
+			return loadErr
+		}, logger)
+	})
 	err = run(ctx, settings, logger)
-	release()
 	if err != nil {
 		logger.Event(elmlog.Failed, "error", err)
 	}
@@ -141,23 +144,3 @@
 	sink.Flush(reportDropped)
 	return err
 }
-
-// watchSettings validates the settings file again on each SIGHUP. A running process
-// keeps its addresses and limits.
-func watchSettings(ctx context.Context, path string, logger *elmlog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		if _, err := platform.Load(path); err != nil {
-			logger.Event(elmlog.SettingsRefused, "error", err)
-			continue
-		}
-		logger.Event(elmlog.SettingsReloaded, "path", path)
-	}
-}
--- a/internal/command/elmcommand/processes.go
+++ b/internal/command/elmcommand/processes.go
@@ -4,8 +4,6 @@
 	"context"
 	"flag"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/agent/elmagent"
@@ -67,20 +65,25 @@
 	return agent.Run(ctx)
 }
 
-// runProcess runs a process until SIGTERM or SIGINT starts draining. Further signals
-// are ignored, so that they do not abort requests in progress.
+// runProcess runs a process until SIGTERM or SIGINT starts draining.
 func runProcess(ctx context.Context, path string, role elmsettings.Role, run func(context.Context, process) error) error {
+	ctx, caught := catchSignals(ctx)
+	defer caught.release()
 	settings, err := elmsettings.Load(path, role)
-	if err != nil {
+	if err != nil || ctx.Err() != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	tracer, err := elmtrace.New(ctx, settings.Instance, settings.Traces)
 	if err != nil {
 		return err
 	}
 	logger := elmlog.New(settings.Instance, settings.Log, os.Stderr)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go caught.watchSettings(background, path, func() error {
+		_, loadErr := elmsettings.Load(path, role)
+		return loadErr
+	}, logger)
 	err = run(ctx, process{settings: settings, logger: logger, tracer: tracer})
 	closeTracer(tracer, logger)
 	return err
