Test changes of the configuration while a body comes in

TestChangeWhileABodyIsRead takes the route away, revokes the key and lowers each limit between the head and the end of the body of a request at a real router. The configuration at the end of the head holds.

--- a/internal/forward/elmrouter/connection_test.go
+++ b/internal/forward/elmrouter/connection_test.go
@@ -135,3 +135,35 @@
 		})
 	}
 }
+
+// Guards against a change of the configuration that leaves a request without an answer whose
+// body is still coming in. The configuration at the end of its head holds for it.
+func TestChangeWhileABodyIsRead(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ from, to string }{
+		"route is taken away":       {`"prefix":"/once/"`, `"prefix":"/gone/"`},
+		"key is revoked":            {`"apiKeys":["` + credential + `"]`, `"apiKeys":["other"]`},
+		"limit of bodies falls":     {`"maxBodyBytes":1000`, `"maxBodyBytes":1`},
+		"limit of heads falls":      {`"maxHeaderBytes":4096`, `"maxHeaderBytes":10`},
+		"idle limit falls":          {`"idleTimeoutMs":5000`, `"idleTimeoutMs":1`},
+		"time limit of route falls": {`"timeoutMs":1500`, `"timeoutMs":1`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1, nil)
+			conn, reader := f.dialCaller()
+			_, _ = io.WriteString(conn, rawUpload("/once/a", "1500", 2)+"a")
+			<-time.After(50 * time.Millisecond) // The head is read.
+			changed := bytes.ReplaceAll(configuration(2, credential), []byte(c.from), []byte(c.to))
+			if bytes.Equal(changed, configuration(2, credential)) {
+				t.Fatalf("the configuration has no %s", c.from)
+			}
+			f.store.Put("op/config", changed)
+			f.eventually("updated", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
+			_, _ = io.WriteString(conn, "a")
+			if got := readResult(reader); got.err != nil || got.status != http.StatusOK || len(f.runs()) != 1 {
+				t.Errorf("got %+v", got)
+			}
+		})
+	}
+}
