Test HTTP/1.0 and Expect at the listener's events

TestEventsInStates gets three more states: a body that the caller sends when it is asked for, and kept connections of HTTP/1.0 between two requests and inside the head of the second.

--- a/internal/wire/elmlistener/elmlistener_test.go
+++ b/internal/wire/elmlistener/elmlistener_test.go
@@ -88,6 +88,10 @@
 func (f *fixture) expectAnswer() {
 	f.t.Helper()
 	response, err := http.ReadResponse(f.reader, nil)
+	if err == nil && response.StatusCode == http.StatusContinue {
+		_ = response.Body.Close()
+		response, err = http.ReadResponse(f.reader, nil)
+	}
 	if err != nil {
 		f.t.Fatalf("no answer: %v", err)
 	}
--- a/internal/wire/elmlistener/states_test.go
+++ b/internal/wire/elmlistener/states_test.go
@@ -9,6 +9,8 @@
 
 const (
 	request   = head + body
+	expecting = "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+	kept10    = "POST / HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\n"
 	readTime  = 50 * time.Millisecond
 	pastLimit = idle + 1300*time.Millisecond // The listener adds a second.
 )
@@ -57,6 +59,9 @@
 		"body is read in part":                  {before: []string{head + body[:1]}, after: body[1:], answers: 1},
 		"request is handled":                    {before: []string{request}, blocked: true, answers: 1},
 		"head of the response is out":           {before: []string{request}, blocked: true, headOut: true, answers: 1},
+		"body is asked for":                     {before: []string{expecting}, after: body, answers: 1},
+		"head of HTTP/1.0 is read in part":      {before: []string{kept10 + body, kept10[:10]}, after: kept10[10:] + body, blocked: true, answers: 2},
+		"between two requests of HTTP/1.0":      {before: []string{kept10 + body}, answers: 1},
 		"between two requests":                  {before: []string{request}, answers: 1},
 		"second request is read":                {before: []string{request + request}, blocked: true, answers: 2},
 		"second request follows":                {before: []string{request, request}, blocked: true, answers: 2},
