--- a/internal/forward/elmfollower/cost_test.go
+++ b/internal/forward/elmfollower/cost_test.go
@@ -23,16 +23,24 @@
 var sizes = []int{10, 400, 1500, 4000, 10000}
 
 // configuration returns a document. Of two versions, one route differs.
-func configuration(routes int, version int64) []byte {
+func configuration(routes int, version int64) []byte { return ordered(routes, version, false) }
+
+// ordered returns a configuration, if shuffled with its routes in another order for each
+// version.
+func ordered(routes int, version int64, shuffled bool) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
-	for i := range routes {
+	for n := range routes {
+		i := n
+		if shuffled {
+			i = (n*7919 + int(version)) % routes // A number that no size is a multiple of.
+		}
 		timeout := int64(2000)
 		if i == routes/2 {
 			timeout += version
 		}
 		fmt.Fprintf(&b, `%s{"name":"route-%d","host":"host-%d.example","prefix":"/part-%d/","service":"service-%d","kind":"idempotent","timeoutMs":%d,"sloMs":250,"attempts":2,"priority":1}`,
-			separator(i), i, i%4, i, i%20, timeout)
+			separator(n), i, i%4, i, i%20, timeout)
 	}
 	b.WriteString(`],"services":[`)
 	for i := range 20 {
@@ -140,6 +148,26 @@
 	})
 }
 
+// BenchmarkApplyShuffled is like BenchmarkApply with routes in another order in each version.
+func BenchmarkApplyShuffled(b *testing.B) {
+	benchChange(b, func(b *testing.B, documents [][]byte) func(int) {
+		routes := bytes.Count(documents[0], []byte(`"prefix"`))
+		for i := range documents {
+			documents[i] = ordered(routes, int64(1000+i), true)
+		}
+		f := newFollower()
+		position, items := read(documents[0], 1)
+		f.ApplyRead(position, items, true)
+		return func(change int) {
+			position, items := read(documents[change], int64(1+change))
+			f.ApplyRead(position, items, false)
+			if f.Snapshot().Catalog().Version() != int64(1000+change) {
+				b.Fatal("not in force")
+			}
+		}
+	})
+}
+
 // BenchmarkUnchanged measures a full read of the store in which nothing has changed.
 func BenchmarkUnchanged(b *testing.B) {
 	benchChange(b, func(_ *testing.B, documents [][]byte) func(int) {
