Let a request that has lost a response wait for a place elsewhere

Callers saw 502, or an aborted stream, where the endpoint of a request had broken off or had become unreachable and all others were full for a moment (suspected in TestSilenceWithNowhereToGo: once 502 after 9.2 s). A request without a place was given up at once; only retries of callers waited.

It is given up at once if no other endpoint is there.

Evidence: TestBrokenStreamWaitsForAPlaceElsewhere got an aborted stream before.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -181,23 +181,39 @@
 func (d *delivery) remaining() time.Duration { return d.timeLimit - (elmclock.Now() - d.began) }
 
 // place chooses an endpoint. A caller retries only once, so its retry waits for a
-// limited time until a group opens again or a slot becomes free.
+// limited time until a group opens again or a slot becomes free. So does a request that has
+// lost a response, since nobody else can still give it one.
 func (d *delivery) place(c elmlifecycle.Place) elmlifecycle.Message {
 	until := time.Duration(0)
-	if d.callerRetry {
+	switch {
+	case d.callerRetry:
 		until = d.began + min(elmretryafter.MaxWait, d.timeLimit-executionReserve)
+	case d.lifecycle.MayHaveRun():
+		until = elmclock.Now() + min(elmretryafter.MaxWait, d.remaining()-executionReserve)
 	}
 	for {
 		message := d.tryPlace(c)
 		now := elmclock.Now()
-		hopeless := d.verdict == elmplace.Leaving || d.verdict == elmplace.Quarantined || d.verdict == elmplace.Paused && now+d.pause >= until
-		if _, unplaced := message.(elmlifecycle.Unplaced); !unplaced || now >= until || hopeless {
+		if _, unplaced := message.(elmlifecycle.Unplaced); !unplaced || now >= until || d.isHopeless(until-now) {
 			return message
 		}
 		elmclock.Wait(d.ctx, elmretryafter.SlotPollInterval)
 	}
 }
 
+// isHopeless reports whether no endpoint will accept the request within a time.
+func (d *delivery) isHopeless(within time.Duration) bool {
+	switch d.verdict {
+	case elmplace.Leaving, elmplace.Quarantined:
+		return true
+	case elmplace.NoEndpoint:
+		return !d.callerRetry
+	case elmplace.Paused:
+		return d.pause >= within
+	}
+	return false
+}
+
 // queuePriority returns the position of the request in an endpoint's queue, 0
 // being the first. Requests are ordered by priority; within a priority, those
 // that can still meet their latency objective come first.
--- a/internal/forward/elmrouter/migrate_test.go
+++ b/internal/forward/elmrouter/migrate_test.go
@@ -1,6 +1,8 @@
 package elmrouter_test
 
 import (
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,3 +36,31 @@
 		})
 	}
 }
+
+// Guards against a stream that is aborted, after its endpoint has broken it off, because the
+// other endpoint is full for a moment.
+func TestBrokenStreamWaitsForAPlaceElsewhere(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, nil)
+	f.slots = 1
+	f.addEndpoint("e1")
+	f.listEndpoint("e0", "draining")
+	f.eventually("e0 leaves", func() bool { return strings.Contains(f.log.String(), `"event":1512`) })
+	<-time.After(settleTime + time.Second) // The entry uses its share of the budget.
+	var wait sync.WaitGroup
+	for range 3 { // As many as one slot of a plain service takes.
+		wait.Go(func() { f.call(t.Context(), "POST", "/single/a?stream=1&pause=200", "", nil) })
+	}
+	f.eventually("e1 is full", func() bool { return len(f.endpoints[1].Requests()) == 3 })
+	f.listIncarnation("e0", "ready", 2)
+	f.endpoints[0].QueueBehaviours(stand.TruncateStream)
+	var got result
+	f.eventually("broken off", func() bool {
+		got = f.call(t.Context(), "POST", "/stream/a?stream=1", "", nil)
+		return len(f.endpoints[0].Requests()) > 0
+	})
+	if got.err != nil || got.body != wholeStream {
+		t.Errorf("got %+v; log:\n%s", got, f.log)
+	}
+	wait.Wait()
+}
