Let no more requests leave a silent endpoint than have a place elsewhere

Cause: each attempt was judged alone, so that one free slot let all attempts at an endpoint fail, and the retries were counted by endpoint although the budget is the service's. They fail together, and those without a place were lost.

Attempts are now judged one after the other, with a slot held for each one before and the retries counted by service.

--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -417,6 +417,12 @@
 	p.service(e.service).begin(now)
 }
 
+// Hold takes a slot of an endpoint until Release, without a request.
+func (p *Placer) Hold(id string) { p.endpoint(id).inFlight++ }
+
+// Release gives a slot back that Hold has taken.
+func (p *Placer) Release(id string) { p.endpoint(id).inFlight-- }
+
 // End records the end of a request at an endpoint. Elapsed is the time to the first
 // byte of the response, or to the end if there was none.
 func (p *Placer) End(id string, outcome Outcome, elapsed, now time.Duration) {
--- a/internal/forward/elmrouter/migrate.go
+++ b/internal/forward/elmrouter/migrate.go
@@ -124,25 +124,36 @@
 func (r *Router) watchSilences(ctx context.Context) {
 	for ctx.Err() == nil {
 		elmclock.Wait(ctx, watchInterval)
-		snapshot, now := r.follower.Snapshot(), elmclock.Now()
-		r.mutex.Lock()
-		movable := map[string]int{} // The number of such attempts at each endpoint, which fail together.
-		for a := range r.attempts {
-			canMove := !a.pinned && a.watch.Silence() >= minSilence &&
-				r.placer.CanRetry(a.query.Service.Name, movable[a.member.ID]+1, now) && r.canPlace(a.query, snapshot, now)
-			a.watch.SetMovable(canMove)
-			if canMove {
-				movable[a.member.ID]++
-			}
-		}
-		r.mutex.Unlock()
+		r.decideSilences(r.follower.Snapshot(), elmclock.Now())
 	}
 }
 
-// canPlace reports whether an endpoint accepts a request. The mutex must be held.
-func (r *Router) canPlace(q elmplace.Query, snapshot elmsnapshot.Snapshot, now time.Duration) bool {
-	_, _, verdict := r.pick(q, snapshot, now)
-	return verdict == elmplace.Placed
+// decideSilences lets as many attempts fail soon as there are retries in the budget of their
+// service and slots at other endpoints, since attempts at a silent endpoint fail together.
+func (r *Router) decideSilences(snapshot elmsnapshot.Snapshot, now time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	retries := map[string]int{}  // By service.
+	nowhere := map[string]bool{} // The endpoints whose requests have no place elsewhere.
+	var held []string            // The endpoints at which a slot is held.
+	for a := range r.attempts {
+		service := a.query.Service.Name
+		movable := !a.pinned && a.watch.Silence() >= minSilence && !nowhere[a.member.ID] &&
+			r.placer.CanRetry(service, retries[service]+1, now)
+		if movable {
+			member, _, verdict := r.pick(a.query, snapshot, now)
+			if movable = verdict == elmplace.Placed; movable {
+				r.placer.Hold(member.ID)
+				held = append(held, member.ID)
+				retries[service]++
+			}
+			nowhere[a.member.ID] = !movable
+		}
+		a.watch.SetMovable(movable)
+	}
+	for _, id := range held {
+		r.placer.Release(id)
+	}
 }
 
 // leaveSlowRanks moves streams from slow ranks to other endpoints, within the retry
--- a/internal/forward/elmrouter/silence_test.go
+++ b/internal/forward/elmrouter/silence_test.go
@@ -294,3 +294,39 @@
 		})
 	}
 }
+
+// Guards against more requests that leave a silent endpoint together than the retry budget, or
+// the slots elsewhere, have room for: the others must wait for the endpoint.
+func TestSilenceOfManyRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		burst    float64
+		requests int
+		slots    int
+	}{
+		"few retries for two endpoints": {burst: 6, requests: 10, slots: 100},
+		"few slots elsewhere":           {burst: 900, requests: 24, slots: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 0, func(s *platform.Settings) { s.Bounds.RetryRatio, s.Bounds.RetryBurst = 0, c.burst })
+			f.configure(2, silentConfiguration(2))
+			f.addSilent("e0", "e1")
+			f.slots = c.slots
+			f.listEndpoint("e1", "ready")
+			<-time.After(settleTime + time.Second)
+			target := "/again/a?for=2500ms&at=" + strings.ReplaceAll(beforeReading, " ", "+")
+			var waiting sync.WaitGroup
+			for i := range c.requests {
+				waiting.Go(func() {
+					began := time.Now()
+					got := f.call(t.Context(), "POST", fmt.Sprintf("%s&n=%d", target, i), strings.Repeat("x", longBody),
+						map[string]string{"Deadline-Ms": "20000", "Attempt-Id": fmt.Sprint("n", i)})
+					if got.err != nil || got.status != http.StatusOK || got.body != "answer" {
+						t.Errorf("request %d: status %d, %q, error %v after %v", i, got.status, got.body, got.err, time.Since(began))
+					}
+				})
+			}
+			waiting.Wait()
+		})
+	}
+}
