--- a/internal/config/elmsite/elmsite.go
+++ b/internal/config/elmsite/elmsite.go
@@ -136,7 +136,15 @@
 	if err != nil {
 		return change, err
 	}
-	if result.Won || s.isAccepted(ctx, change) {
+	if result.Won {
+		return change, nil
+	}
+	history, err := s.History(ctx)
+	if err != nil {
+		return change, err
+	}
+	// A write without a reply may have put the change before the one that followed.
+	if slices.ContainsFunc(history, func(c elmconfig.Change) bool { return c.ID == change.ID }) {
 		return change, nil
 	}
 	return change, newConflict(result.Value.Data)
@@ -156,13 +164,6 @@
 	}
 }
 
-// isAccepted reports whether a change is in the history, where a write without a reply may
-// have put it before another change followed.
-func (s *Site) isAccepted(ctx context.Context, change elmconfig.Change) bool {
-	history, err := s.History(ctx)
-	return err == nil && slices.ContainsFunc(history, func(c elmconfig.Change) bool { return c.ID == change.ID })
-}
-
 // accepted is a journal, its full document, and the configuration after its
 // patches.
 type accepted struct {
