--- a/internal/forward/elmfollower/elmfollower_test.go
+++ b/internal/forward/elmfollower/elmfollower_test.go
@@ -143,9 +143,8 @@
 }
 
 // Guards against endpoints that are dropped after an outage of the store, in which their
-// entries have expired and within 2 s after which they write them again. An answer of the
-// entry that read the store before was taken for the end of the outage if its age, rounded,
-// seemed lower than that of the answer before.
+// entries have expired and within 2 s after which they write them again. The rounded age of a
+// peer's answer must not pass for a later read.
 func TestEndpointIsKeptAfterOutage(t *testing.T) {
 	for name, lag := range map[string]time.Duration{"age rises with time": 0, "age lags": 2 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/forward/elmfollower/urgent_test.go
+++ b/internal/forward/elmfollower/urgent_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against an urgent change that is known late because heartbeats have ended the watch
-// before it (review/5).
+// before it.
 func TestUrgentChange(t *testing.T) {
 	t.Parallel()
 	const heartbeat, known = 10 * time.Millisecond, 250 * time.Millisecond
--- a/internal/forward/elmplace/cold_test.go
+++ b/internal/forward/elmplace/cold_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against endpoints that get more requests than they can take while entries don't know
-// yet that they have become cold (review/5): 38 x 1.5 + 5 in a second, of which a quarter is
+// yet that they have become cold: 38 x 1.5 + 5 in a second, of which a quarter is
 // left unused.
 func TestExceedsColdLimit(t *testing.T) {
 	t.Parallel()
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -82,7 +82,7 @@
 	// received is the number of body bytes received in that response.
 	received int
 	splitter elmevents.Splitter
-	// first is the begin of the body, which was read with firstErr, and next reads on.
+	// first is the beginning of the body, which was read with firstErr, and next reads on.
 	first    []byte
 	firstErr error
 	next     func() ([]byte, error)
@@ -229,7 +229,7 @@
 func (d *delivery) takeRetryIfRetryable() bool { return d.route.Retryable() && d.takeRetry() }
 
 // checkHead returns the message for the head of a response, which has to continue a
-// stream if that is resumed, and otherwise for the begin of its body as well.
+// stream if that is resumed, and otherwise for the beginning of its body as well.
 func (d *delivery) checkHead(resumed bool) elmlifecycle.Message {
 	responseInfo := platform.ReadResponseInfo(d.response.Status, d.response.Header)
 	d.recordAnnouncements(responseInfo)
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// readFirst reads the begin of the body before the head is sent: the first event, or as
+// readFirst reads the beginning of the body before the head is sent: the first event, or as
 // much as would be held back. If the response breaks off before, nothing of it has reached
 // the caller, and readFirst returns the error.
 func (d *delivery) readFirst() error {
--- a/internal/wire/elmlistener/elmlistener.go
+++ b/internal/wire/elmlistener/elmlistener.go
@@ -162,8 +162,8 @@
 	return err == nil && queued > 0 && tcp.SetDeadline(time.Now().Add(acceptTime)) == nil
 }
 
-// emptyQueue ends a call of Accept that waits, which then finds the queue.
-func (l *Listener) emptyQueue() {
+// interruptAccept ends a call of Accept that waits, which then finds the queue.
+func (l *Listener) interruptAccept() {
 	tcp, ok := l.Listener.(*net.TCPListener)
 	if !ok || tcp.SetDeadline(time.Now()) != nil {
 		_ = l.Close()
@@ -205,7 +205,7 @@
 // one between two requests. It waits until all are closed or the context ends.
 func (l *Listener) Drain(ctx context.Context) error {
 	open := l.startDraining()
-	l.emptyQueue()
+	l.interruptAccept()
 	for _, c := range open {
 		c.refresh()
 	}
