Resume no stream whose last event has no identifier

A stream can be continued only after an event that can be named. Without one, the response ends there, and its caller sees that it is not whole.

Evidence: TestStreamWithoutIdentifiersIsNotResumed got both events twice after 2 runs before, and one run with an error now.

--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -79,7 +79,7 @@
 	}
 	d.release(elmplace.Failed)
 	d.recordLostResponse()
-	resumable := events && d.route.Resumable
+	resumable := events && d.route.Resumable && (d.firstByte == 0 || d.splitter.LastID() != "")
 	spent := !resumable || d.groupBroken() || !d.takeRetry()
 	return elmlifecycle.Truncated{Resumable: resumable, NoRetry: spent}
 }
--- a/internal/forward/elmrouter/response_test.go
+++ b/internal/forward/elmrouter/response_test.go
@@ -4,9 +4,12 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/elmcove/elmcove/internal/stand/elmscript"
 )
@@ -196,3 +199,31 @@
 		}
 	}
 }
+
+// Guards against events that a caller gets twice, because a stream whose events have no
+// identifier is started anew at another endpoint.
+func TestStreamWithoutIdentifiersIsNotResumed(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 0, nil)
+	var runs atomic.Int32
+	for _, id := range []string{"e0", "e1"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Response-Seal", "seal")
+			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+			_, _ = io.WriteString(w, "data: event 1\n\ndata: event 2\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(server.Close)
+		f.addresses[id] = server.Listener.Addr().String()
+		f.listEndpoint(id, "ready")
+	}
+	f.eventually("listed", func() bool { return strings.Count(f.log.String(), `"endpoint listed"`) >= 2 })
+	<-time.After(settleTime + time.Second) // The entry uses its share of the budget.
+	got := f.call(t.Context(), "POST", "/stream/a?stream=1", "", nil)
+	if got.err == nil || strings.Count(got.body, "event 1") != 1 || runs.Load() != 1 {
+		t.Errorf("got %+v after %d runs; log:\n%s", got, runs.Load(), f.log)
+	}
+}
