Count the members of services once for the cold limit

Each read of the store copied the members of each service to know how many there are: one pass over the endpoints now counts those of all services. The two benchmarks of a change, which differ in the order of routes only, share their body.

--- a/internal/forward/elmfollower/cost_test.go
+++ b/internal/forward/elmfollower/cost_test.go
@@ -131,29 +131,13 @@
 	})
 }
 
-// BenchmarkApply measures one change of one route from the document to the configuration in
-// force.
-func BenchmarkApply(b *testing.B) {
-	benchChange(b, func(b *testing.B, documents [][]byte) func(int) {
-		f := newFollower()
-		position, items := read(documents[0], 1)
-		f.ApplyRead(position, items, true)
-		return func(change int) {
-			position, items := read(documents[change], int64(1+change))
-			f.ApplyRead(position, items, false)
-			if f.Snapshot().Catalog().Version() != int64(1000+change) {
-				b.Fatal("not in force")
-			}
-		}
-	})
-}
-
-// BenchmarkApplyShuffled is like BenchmarkApply with routes in another order in each version.
-func BenchmarkApplyShuffled(b *testing.B) {
+// benchApply measures changes from the document to the configuration in force, if shuffled
+// with the routes of each version in another order.
+func benchApply(b *testing.B, shuffled bool) {
 	benchChange(b, func(b *testing.B, documents [][]byte) func(int) {
 		routes := bytes.Count(documents[0], []byte(`"prefix"`))
 		for i := range documents {
-			documents[i] = ordered(routes, int64(1000+i), true)
+			documents[i] = ordered(routes, int64(1000+i), shuffled)
 		}
 		f := newFollower()
 		position, items := read(documents[0], 1)
@@ -168,6 +152,12 @@
 	})
 }
 
+// BenchmarkApply measures one change of one route.
+func BenchmarkApply(b *testing.B) { benchApply(b, false) }
+
+// BenchmarkApplyShuffled is like BenchmarkApply with routes in another order in each version.
+func BenchmarkApplyShuffled(b *testing.B) { benchApply(b, true) }
+
 // BenchmarkUnchanged measures a full read of the store in which nothing has changed.
 func BenchmarkUnchanged(b *testing.B) {
 	benchChange(b, func(_ *testing.B, documents [][]byte) func(int) {
--- a/internal/forward/elmrouter/entries.go
+++ b/internal/forward/elmrouter/entries.go
@@ -109,9 +109,10 @@
 // it can take until this entry learns of it.
 func (r *Router) exceedsColdLimit() bool {
 	snapshot, now := r.follower.Snapshot(), elmclock.Now()
+	counts := snapshot.MemberCounts(now)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return slices.ContainsFunc(snapshot.Catalog().Services(), func(s elmcatalog.Service) bool {
-		return r.placer.ExceedsColdLimit(s, len(snapshot.Members(s.Name, now)), now)
+		return r.placer.ExceedsColdLimit(s, counts[s.Name], now)
 	})
 }
--- a/internal/forward/elmsnapshot/elmsnapshot.go
+++ b/internal/forward/elmsnapshot/elmsnapshot.go
@@ -126,9 +126,23 @@
 // Members returns the endpoints of a service that may receive requests, sorted by
 // ID. It omits endpoints that are leaving or whose data centre is withdrawn.
 func (s Snapshot) Members(service string, now time.Duration) []Member {
-	return s.filter(service, func(m Member) bool {
-		return !m.removed(now) && !m.Leaving && !s.Withdrawn(m.Datacentre)
-	})
+	return s.filter(service, func(m Member) bool { return s.isUsable(m, now) })
+}
+
+// MemberCounts returns the number of endpoints in Members by service.
+func (s Snapshot) MemberCounts(now time.Duration) map[string]int {
+	counts := map[string]int{}
+	for _, m := range s.members {
+		if s.isUsable(m, now) {
+			counts[m.Service]++
+		}
+	}
+	return counts
+}
+
+// isUsable reports whether an endpoint may receive any request.
+func (s Snapshot) isUsable(m Member, now time.Duration) bool {
+	return !m.removed(now) && !m.Leaving && !s.Withdrawn(m.Datacentre)
 }
 
 // LastResort returns the endpoints of a service that may receive requests that no
