Refuse requests whose bodies don't fit into an entry's memory

Callers would lose all requests of an entry at once. The configurations of the users allow bodies of 4 MiB, and each is held until its request ends, since it may be sent again: 60 callers fill the memory of an entry (184 to 536 MB), the platform ends the process, and every request on it is without an answer.

elmmemory.Budget lets the bodies that are read take a quarter of the memory limit of the settings, byte by byte as they come in. A body beyond gets 503 at once (not run, Retry-After).

--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -13,6 +13,7 @@
 package elmrouter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,6 +35,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmrelay"
 	"github.com/elmcove/elmcove/internal/forward/elmsignature"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
+	"github.com/elmcove/elmcove/internal/limit/elmmemory"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmguard"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
@@ -70,6 +72,10 @@
 	readyAgeRatio = 0.6
 	// cleanUpInterval is the interval between two clean-ups.
 	cleanUpInterval = time.Second
+	// bodyMemoryRatio is the share of the memory limit for the bodies of requests. The garbage
+	// collector may need as much again. defaultMemory is the memory limit if none is set.
+	bodyMemoryRatio = 0.25
+	defaultMemory   = 256 << 20
 )
 
 // Router is an entry process on the users' platform.
@@ -84,6 +90,8 @@
 	peers    *elmpeers.Peers
 	exchange *elmexchange.Client
 	board    *elmnotice.Board
+	// bodies is the memory for the bodies of requests.
+	bodies elmmemory.Budget
 	// pollWake is sent to when a group was found broken.
 	pollWake chan struct{}
 	// loadsChanged is sent to when this entry's loads have changed.
@@ -127,6 +135,7 @@
 		settings: settings, logger: logger, meter: elmmeter.New(),
 		store:           platform.NewStore(settings.Store),
 		ranks:           platform.NewRankClient(reportTimeout),
+		bodies:          elmmemory.New(int64(bodyMemoryRatio * float64(cmp.Or(settings.MemoryLimit, defaultMemory)))),
 		attempts:        map[*attempt]struct{}{},
 		broken:          map[string]struct{}{},
 		pollWake:        make(chan struct{}, 1),
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -13,6 +13,7 @@
 	"github.com/elmcove/elmcove/internal/forward/elmretryafter"
 	"github.com/elmcove/elmcove/internal/forward/elmsignature"
 	"github.com/elmcove/elmcove/internal/forward/elmsnapshot"
+	"github.com/elmcove/elmcove/internal/limit/elmmemory"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/platform"
@@ -41,6 +42,7 @@
 	reasonHeaders       = "headers too large"
 	reasonBody          = "body too large"
 	reasonBodyUnread    = "body not read"
+	reasonMemory        = "memory for bodies is in use"
 	reasonNoService     = "route without service"
 	reasonMaybeNewer    = "may be newer than the belief"
 	reasonStopping      = "entry stops before the request's time limit"
@@ -80,7 +82,9 @@
 	requestInfo := platform.ReadRequestInfo(request.Header)
 	snapshot := r.follower.Snapshot()
 	limitWriting(w, writeMargin)
-	a, err := r.admit(w, request, requestInfo, snapshot, began)
+	body := r.bodies.Body(request.Body)
+	defer body.Release()
+	a, err := r.admit(w, request, body, requestInfo, snapshot, began)
 	if err == nil && r.isLate(a, elmclock.Now()) {
 		err = refusalError{http.StatusServiceUnavailable, reasonStopping}
 	}
@@ -122,7 +126,7 @@
 }
 
 // admit checks a request against the configuration and reads its body.
-func (r *Router) admit(w http.ResponseWriter, request *http.Request, requestInfo platform.RequestInfo, snapshot elmsnapshot.Snapshot, began time.Duration) (admitted, error) {
+func (r *Router) admit(w http.ResponseWriter, request *http.Request, body *elmmemory.Body, requestInfo platform.RequestInfo, snapshot elmsnapshot.Snapshot, began time.Duration) (admitted, error) {
 	a := admitted{requestInfo: requestInfo, began: began}
 	if !snapshot.HasConfig() {
 		return a, refusalError{http.StatusServiceUnavailable, reasonUnknownConfig}
@@ -160,7 +164,7 @@
 	stop := context.AfterFunc(request.Context(), func() { limitReading(w, request, 0) })
 	defer stop()
 	var err error
-	a.body, err = readBody(request, limits.BodyBytes)
+	a.body, err = readBody(request, body, limits.BodyBytes)
 	a.signatures = signaturesOf(request, a)
 	return a, err
 }
@@ -209,16 +213,17 @@
 }
 
 // readBody reads the body of a request up to a limit. A limit of 0 means none.
-func readBody(request *http.Request, limit int64) ([]byte, error) {
+func readBody(request *http.Request, reader io.Reader, limit int64) ([]byte, error) {
 	if limit > 0 && request.ContentLength > limit {
 		return nil, refusalError{http.StatusRequestEntityTooLarge, reasonBody}
 	}
-	reader := io.Reader(request.Body)
 	if limit > 0 {
 		reader = io.LimitReader(reader, limit+1)
 	}
 	body, err := io.ReadAll(reader)
 	switch {
+	case errors.Is(err, elmmemory.ErrExhausted):
+		return nil, refusalError{http.StatusServiceUnavailable, reasonMemory}
 	case err != nil && errors.Is(context.Cause(request.Context()), errStopping):
 		return nil, refusalError{http.StatusServiceUnavailable, reasonStopping}
 	case err != nil:
