Refuse requests whose bodies don't fit into an entry's memory, own interface

The same fault as in the router: a workspace may send 256 requests of 1 MiB at once, and more if it is configured so. The refusal closes the connection, as net/http otherwise waits for the rest of the body first.

--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -27,6 +27,7 @@
 	"github.com/elmcove/elmcove/internal/entry/elmledger"
 	"github.com/elmcove/elmcove/internal/entry/elmpause"
 	"github.com/elmcove/elmcove/internal/limit/elmbudget"
+	"github.com/elmcove/elmcove/internal/limit/elmmemory"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/observe/elmtrace"
@@ -46,6 +47,9 @@
 	idleTimeout    = 3 * time.Minute
 	maxHeaderBytes = 32 << 10
 	drainTimeout   = 2 * time.Minute
+	// bodyMemory is the memory for the bodies of all open requests. Several forms of a body may
+	// be in memory at once.
+	bodyMemory = 48 << 20
 )
 
 // ErrEntry reports that the entry can't start, run or drain.
@@ -66,6 +70,7 @@
 	incarnation string
 	serial      atomic.Uint64
 	draining    atomic.Bool
+	bodies      elmmemory.Budget
 
 	mutex        sync.Mutex
 	picker       *elmpicker.Picker
@@ -89,6 +94,7 @@
 		logger:       elmlog.Discard(),
 		tracer:       elmtrace.Discard(),
 		meter:        elmmeter.New(),
+		bodies:       elmmemory.New(bodyMemory),
 		incarnation:  uuid.NewString(),
 		picker:       elmpicker.New(settings.Datacentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:       elmbudget.New(),
--- a/internal/entry/elmentry/handlers.go
+++ b/internal/entry/elmentry/handlers.go
@@ -12,6 +12,7 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"github.com/elmcove/elmcove/internal/config/elmconfig"
+	"github.com/elmcove/elmcove/internal/limit/elmmemory"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/wire/elmapi"
 )
@@ -70,7 +71,9 @@
 			return
 		}
 		defer e.release(workspace)
-		r.Body = http.MaxBytesReader(w, r.Body, config.MaxBodyBytes(workspace))
+		body := e.bodies.Body(r.Body)
+		defer body.Release()
+		r.Body = http.MaxBytesReader(w, body, config.MaxBodyBytes(workspace))
 		ctx := context.WithValue(r.Context(), contextKey{}, caller{workspace: workspace, config: config})
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
@@ -92,8 +95,12 @@
 func (e *Entry) handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
 	var tooLarge *http.MaxBytesError
 	p := problem{status: ogenerrors.ErrorCode(err), title: "request is not valid", detail: err.Error()}
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		p = bodyTooLarge(tooLarge)
+	case errors.Is(err, elmmemory.ErrExhausted):
+		w.Header().Set("Connection", "close") // Otherwise the rest of the body is read first.
+		p = problem{status: http.StatusServiceUnavailable, title: "memory for bodies is in use", retry: retryAfter}
 	}
 	e.refuse(w, beforeClaim(r, p))
 }
