Announce to callers for how long an idle connection can be used

All responses now carry Keep-Alive with the limit in whole seconds, and the connection stays open for a second more than announced, also if a change of the configuration lowers the limit while the response is under way.

TestAnnouncedKeepAliveHolds fails if the announced limit does not hold ('no answer: unexpected EOF'); TestKeepAliveIsAnnounced and TestResponsesAnnounceKeepAlive fail without the header.

--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -152,7 +152,7 @@
 	listener := elmlistener.New(inner, elmlistener.WithHeadLimit(headerTimeout),
 		elmlistener.WithIdleLimit(func() time.Duration { return idleTimeout }))
 	server := &http.Server{ //nolint:gosec // The listener limits the time for a head.
-		Handler: e.closeIfDraining(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: listener.OnStateChange,
+		Handler: e.announceReuse(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: listener.OnStateChange, ConnContext: elmlistener.ConnContext,
 	}
 	elmabort.Protect(server)
 	go func() {
@@ -163,13 +163,14 @@
 	return listener, nil
 }
 
-// closeIfDraining announces in responses that the connection ends, while the entry is
-// draining.
-func (e *Entry) closeIfDraining(next http.Handler) http.Handler {
+// announceReuse announces in responses whether their connection can be used again: a draining
+// entry closes it.
+func (e *Entry) announceReuse(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		elmlistener.AnnounceKeepAlive(w.Header(), r)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -131,7 +131,7 @@
 	if d.status != 0 {
 		panic(http.ErrAbortHandler)
 	}
-	d.router.respond(d.writer, d.requestInfo, http.StatusBadGateway, 0, "")
+	d.router.respond(d.writer, d.request, d.requestInfo, http.StatusBadGateway, 0, "")
 }
 
 // execute runs a command. It returns the resulting message, or nil at the
@@ -301,7 +301,7 @@
 	if d.verdict == elmplace.Quarantined {
 		reason = reasonQuarantined
 	}
-	d.router.respond(d.writer, d.requestInfo, http.StatusServiceUnavailable, after, reason)
+	d.router.respond(d.writer, d.request, d.requestInfo, http.StatusServiceUnavailable, after, reason)
 	d.router.meter.Count("elmcove_refusals_total", "reason", d.verdict.String())
 	d.router.logger.Event(elmlog.RequestRefused, d.logFields("after", after, "verdict", d.verdict.String())...)
 }
@@ -312,7 +312,7 @@
 	if c.DeadlineExceeded || d.remaining() < minRemaining {
 		status = http.StatusGatewayTimeout
 	}
-	d.router.respond(d.writer, d.requestInfo, status, 0, "")
+	d.router.respond(d.writer, d.request, d.requestInfo, status, 0, "")
 	d.router.meter.Count("elmcove_failures_total", "status", http.StatusText(status))
 	d.router.logger.Event(elmlog.RequestFailed, d.logFields("status", status)...)
 }
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -312,6 +312,7 @@
 		Handler:        http.HandlerFunc(r.serve),
 		MaxHeaderBytes: headerBytes,
 		ConnState:      callers.OnStateChange,
+		ConnContext:    elmlistener.ConnContext,
 		BaseContext:    func(net.Listener) context.Context { return base },
 		ErrorLog:       r.logger.Standard(),
 	}
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -93,7 +93,7 @@
 	if events {
 		header.Del("Content-Length") // A resumed stream may differ in length.
 	}
-	d.router.closeIfDraining(d.writer)
+	d.router.announceReuse(d.writer, d.request)
 	d.status = d.response.Status
 	d.writer.WriteHeader(d.status)
 	if !events {
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -16,6 +16,7 @@
 	"github.com/elmcove/elmcove/internal/limit/elmmemory"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/wire/elmlistener"
 	"github.com/elmcove/elmcove/platform"
 )
 
@@ -93,7 +94,7 @@
 		if errors.As(err, &refused) {
 			limitWriting(w, writeMargin)
 			limitReading(w, request, refusedBodyTime)
-			r.refuse(w, requestInfo, refused, snapshot.Age(began), elmclock.Now()-began)
+			r.refuse(w, request, requestInfo, refused, snapshot.Age(began), elmclock.Now()-began)
 		}
 		return
 	}
@@ -103,12 +104,13 @@
 	r.deliver(ctx, w, request, a)
 }
 
-// closeIfDraining announces the end of the connection in the head of a response, if the
-// router is draining.
-func (r *Router) closeIfDraining(w http.ResponseWriter) {
+// announceReuse announces in the head of a response whether its connection can be used again: a
+// draining router closes it.
+func (r *Router) announceReuse(w http.ResponseWriter, request *http.Request) {
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	elmlistener.AnnounceKeepAlive(w.Header(), request)
 }
 
 // limitWriting bounds the time in which a response can be written. A caller that does not
@@ -235,7 +237,7 @@
 }
 
 // refuse responds to a request that was not sent to an endpoint.
-func (r *Router) refuse(w http.ResponseWriter, requestInfo platform.RequestInfo, refused refusalError, age, held time.Duration) {
+func (r *Router) refuse(w http.ResponseWriter, request *http.Request, requestInfo platform.RequestInfo, refused refusalError, age, held time.Duration) {
 	after := time.Duration(0)
 	switch refused.status {
 	case http.StatusServiceUnavailable:
@@ -244,7 +246,7 @@
 	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge, http.StatusRequestTimeout:
 		w.Header().Set("Connection", "close")
 	}
-	r.respond(w, requestInfo, refused.status, after, "")
+	r.respond(w, request, requestInfo, refused.status, after, "")
 	r.meter.Count("elmcove_refusals_total", "reason", refused.reason)
 	r.logger.Event(elmlog.RequestRefused, "request", requestInfo.Attempt, "status", refused.status, "reason", refused.reason,
 		"age", age, "held", held, "after", after)
@@ -257,8 +259,8 @@
 }
 
 // respond writes a response of the router itself, with the reason unless that is "".
-func (r *Router) respond(w http.ResponseWriter, requestInfo platform.RequestInfo, status int, after time.Duration, reason string) {
-	r.closeIfDraining(w)
+func (r *Router) respond(w http.ResponseWriter, request *http.Request, requestInfo platform.RequestInfo, status int, after time.Duration, reason string) {
+	r.announceReuse(w, request)
 	platform.SetRefusalHeaders(w.Header(), requestInfo.Attempt, after)
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
--- a/internal/wire/elmabort/elmabort.go
+++ b/internal/wire/elmabort/elmabort.go
@@ -28,7 +28,11 @@
 // Protect changes a server so that the connection of an HTTP/1.0 request is reset
 // unless its handler returns.
 func Protect(server *http.Server) {
+	connContext := server.ConnContext
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	next := server.Handler
--- a/internal/wire/elmlistener/conn.go
+++ b/internal/wire/elmlistener/conn.go
@@ -55,6 +55,8 @@
 	used      bool
 	idleSince time.Time
 	idleLimit time.Duration
+	// announced is the idle limit that the response to the current request has announced, or 0.
+	announced time.Duration
 	// headBuffer is the size of the server's buffer for the heads of requests.
 	headBuffer int
 	// headEnd is the deadline for the head that is being received.
@@ -205,7 +207,7 @@
 func (c *conn) begin() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.phase, c.used, c.headEnd = serving, true, time.Time{}
+	c.phase, c.used, c.headEnd, c.announced = serving, true, time.Time{}, 0
 	_ = c.setReadDeadline() // It fails only on a closed connection.
 }
 
@@ -218,7 +220,7 @@
 		return
 	}
 	c.phase, c.headEnd = awaiting, time.Time{}
-	c.idleSince, c.idleLimit = time.Now(), c.listener.idleLimit()
+	c.idleSince, c.idleLimit = time.Now(), max(c.announced, c.listener.idleLimit())
 	_ = c.setReadDeadline() // It fails only on a closed connection.
 }
 
--- a/internal/wire/elmlistener/elmlistener.go
+++ b/internal/wire/elmlistener/elmlistener.go
@@ -14,11 +14,13 @@
 // # Usage
 //
 //	listener := elmlistener.New(inner, elmlistener.WithIdleLimit(limit))
-//	server := &http.Server{Handler: handler, ConnState: listener.OnStateChange}
+//	server := &http.Server{Handler: handler, ConnState: listener.OnStateChange, ConnContext: elmlistener.ConnContext}
 //	go server.Serve(listener)
 //	<-ctx.Done()
 //	err := listener.Drain(grace) // In place of server.Shutdown.
 //
+// Handlers call AnnounceKeepAlive before they write the head of a response.
+//
 // The server must not set IdleTimeout, ReadTimeout or ReadHeaderTimeout.
 package elmlistener
 
--- a/internal/wire/elmlistener/elmlistener_test.go
+++ b/internal/wire/elmlistener/elmlistener_test.go
@@ -36,6 +36,8 @@
 	block chan struct{}
 	// headOut is set if the head of a response is sent before block holds the handler.
 	headOut bool
+	// announces is set if responses announce the idle limit.
+	announces bool
 	// received gets a value when a handler has read a request.
 	received chan struct{}
 }
@@ -55,8 +57,11 @@
 		f.onLimit()
 		return time.Duration(f.limit.Load())
 	}), elmlistener.WithEnded(func(r elmlistener.EndReason) { f.ended <- r }))
-	server := &http.Server{ConnState: f.listener.OnStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ConnState: f.listener.OnStateChange, ConnContext: elmlistener.ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, _ := io.ReadAll(r.Body)
+		if f.announces {
+			elmlistener.AnnounceKeepAlive(w.Header(), r)
+		}
 		f.received <- struct{}{}
 		if f.headOut {
 			_ = http.NewResponseController(w).Flush()
