End the drain of a listener from which no server accepts

A drain leaves the close of the listening socket to the next call of Accept, which first takes what is in the accept queue. Where the server has ended, or was never started, nobody calls Accept, and the process that stops waits until the end of its grace with nothing to wait for.

A drain now closes the socket itself once Accept was not called for two seconds, twice what net/http waits at most after a temporary error. It takes two looks, a second apart, so that one that comes late in a process that was frozen does not reset connections in the queue.

The test failed before, for a listener that was never served and for one whose server ended:

TestDrainWithoutServer/never_served (5.00s) queue_test.go:84: listener: 0 connections are still open: context deadline exceeded

--- a/internal/wire/elmlistener/elmlistener.go
+++ b/internal/wire/elmlistener/elmlistener.go
@@ -52,6 +52,8 @@
 	// stopped is set when the listening socket is closed, after queueAccepted connections.
 	stopped       bool
 	queueAccepted atomic.Int32
+	// acceptCalls is the number of calls of Accept.
+	acceptCalls atomic.Int64
 	// drained is closed when the listener is draining and has no connections left.
 	drained     chan struct{}
 	drainedOnce sync.Once
@@ -93,6 +95,8 @@
 	defaultHeadLimit = 15 * time.Second
 	// acceptTime is the time to accept a queued connection.
 	acceptTime = 100 * time.Millisecond
+	// acceptWait is longer than net/http waits after a temporary error before it accepts again.
+	acceptWait = 2 * time.Second
 	// maxQueue is the size of the largest accept queue. Callers that connect all the time must
 	// not keep a drain from ending.
 	maxQueue = 4096
@@ -117,6 +121,7 @@
 // Accept implements net.Listener. During a drain it returns the connections that are in the
 // accept queue, and then closes the listening socket.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.acceptCalls.Add(1)
 	for {
 		if l.isDraining() && !l.acceptQueued() {
 			_ = l.Close() // It fails only if the listener is closed already.
@@ -209,12 +214,22 @@
 	for _, c := range open {
 		c.refresh()
 	}
-	select {
-	case <-l.drained:
-		return nil
-	case <-ctx.Done():
-		_ = l.Close()
-		return fmt.Errorf("%w: %d connections are still open: %w", ErrListener, l.open(), context.Cause(ctx))
+	ticker := time.NewTicker(acceptWait / 2)
+	defer ticker.Stop()
+	for calls, silent := l.acceptCalls.Load(), 0; ; {
+		select {
+		case <-l.drained:
+			return nil
+		case <-ticker.C:
+			if now := l.acceptCalls.Load(); now != calls {
+				calls, silent = now, 0
+			} else if silent++; silent == 2 {
+				_ = l.Close() // No server accepts connections.
+			}
+		case <-ctx.Done():
+			_ = l.Close()
+			return fmt.Errorf("%w: %d connections are still open: %w", ErrListener, l.open(), context.Cause(ctx))
+		}
 	}
 }
 
--- a/internal/wire/elmlistener/queue_test.go
+++ b/internal/wire/elmlistener/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -51,3 +52,40 @@
 		t.Error("the listener still accepts connections")
 	}
 }
+
+// Guards against a drain that waits until its limit although no server accepts connections
+// any more.
+func TestDrainWithoutServer(t *testing.T) {
+	t.Parallel()
+	for name, accepts := range map[string]int{"never served": 0, "server has ended": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inner, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			listener := elmlistener.New(inner)
+			for range accepts {
+				accepted := make(chan net.Conn, 1)
+				go func() {
+					conn, _ := listener.Accept()
+					accepted <- conn
+				}()
+				conn, dialErr := net.Dial("tcp4", inner.Addr().String())
+				if dialErr != nil {
+					t.Fatal(dialErr)
+				}
+				_ = conn.Close()
+				_ = (<-accepted).Close()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), closedBy)
+			defer cancel()
+			if err = listener.Drain(ctx); err != nil {
+				t.Error(err)
+			}
+			if _, err = net.Dial("tcp4", inner.Addr().String()); err == nil {
+				t.Error("the listener still accepts connections")
+			}
+		})
+	}
+}
