Refuse a body that is coming in while its caller can still read it

A request whose body was still coming in at the end of a stopping router's grace got its 503 200 ms before the process ended. net/http reads such a body on for up to two seconds after the refusal, so that the connection was open, with unread bytes, when the process ended: the kernel resets it, under a caller that has not read the refusal or is still sending.

Bodies are now read until 1.2 s before the requests in flight are ended, and the rest of a refused body is read only as long as the connection can be closed after it. A request whose body ends later could hardly run, and is refused as one that the router can't finish.

The test sends a byte each 50 ms over the end of the grace.

TestStop/body_is_sent_on_over_the_end (4.92s) connection_test.go:107: the process ends before its connections do; log: 02:53:01.106714 requests still in flight: listener: 1 connections are still open 02:53:01.107103 request refused, held 4.601714s, status 503 02:53:01.307520 process stopped

That the kernel resets such a connection is by reading; the test looks at what is open.

--- a/internal/forward/elmrouter/connection_test.go
+++ b/internal/forward/elmrouter/connection_test.go
@@ -87,6 +87,26 @@
 				t.Errorf("got %+v", got)
 			}
 		}},
+		"body is sent on over the end": {5 * time.Second, func(t *testing.T, f *fixture) {
+			conn, reader := f.dialCaller()
+			_, _ = io.WriteString(conn, rawUpload("/single/a", "20000", 1000)+"a")
+			_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
+			f.stop()
+			go func() {
+				for range time.Tick(50 * time.Millisecond) {
+					if _, err := io.WriteString(conn, "a"); err != nil {
+						return
+					}
+				}
+			}()
+			if got := readResult(reader); got.err != nil || got.status != http.StatusServiceUnavailable {
+				t.Errorf("got %+v", got)
+			}
+			f.eventually("stopped", func() bool { return strings.Contains(f.log.String(), "process stopped") })
+			if strings.Contains(f.log.String(), "still in flight") {
+				t.Errorf("the process ends before its connections do; log:\n%s", f.log)
+			}
+		}},
 		"request without an answer at the end": {3500 * time.Millisecond, func(t *testing.T, f *fixture) {
 			f.next(stand.Hang)
 			conn, reader := f.dialCaller()
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -62,6 +62,11 @@
 	// a response.
 	graceMargin      = 400 * time.Millisecond
 	lastResponseTime = 200 * time.Millisecond
+	// lastBodyTime is the part of the grace period before that in which requests whose body is
+	// still coming in are refused, and closeTime the part of it in which net/http and
+	// elmlistener close their connections, so that callers read the refusals.
+	lastBodyTime = 1200 * time.Millisecond
+	closeTime    = 600 * time.Millisecond
 	// credentialAgeRatio is the share of the revocation limit beyond which a
 	// snapshot is too old to accept credentials.
 	credentialAgeRatio = 0.9
@@ -92,7 +97,10 @@
 	// lateAfter is when a draining router starts to refuse requests that it can't finish
 	// before stopsAt. Both are 0 while it is not draining.
 	lateAfter, stopsAt atomic.Int64
-	ready              atomic.Bool
+	// bodies ends when bodies of requests are no longer read, before the router stops.
+	bodies    context.Context //nolint:containedctx // It lives as long as the router.
+	endBodies context.CancelFunc
+	ready     atomic.Bool
 	// informed is set when the notices of a first snapshot have been applied.
 	informed atomic.Bool
 
@@ -182,6 +190,8 @@
 	if err != nil {
 		return err
 	}
+	r.bodies, r.endBodies = context.WithCancel(base)
+	defer r.endBodies()
 	failures := make(chan error, 5)
 	requests, endRequests := context.WithCancelCause(base)
 	defer endRequests(nil)
@@ -241,6 +251,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	elmclock.Wait(ctx, shutdownDelay)
+	defer time.AfterFunc(time.Duration(r.stopsAt.Load())-lastBodyTime-elmclock.Now(), r.endBodies).Stop()
 	err := callers.Drain(ctx)
 	if err == nil {
 		return
@@ -261,6 +272,14 @@
 	return a.began+a.timeLimit > time.Duration(r.stopsAt.Load())
 }
 
+// discardTime returns how long the rest of a refused request's body may come in.
+func (r *Router) discardTime() time.Duration {
+	if !r.draining.Load() {
+		return refusedBodyTime
+	}
+	return min(refusedBodyTime, time.Duration(r.stopsAt.Load())-elmclock.Now()-closeTime)
+}
+
 // recordDeadline records a deadline on a route and returns the longest one so far.
 func (r *Router) recordDeadline(route string, deadline time.Duration) time.Duration {
 	r.mutex.Lock()
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -88,7 +88,7 @@
 		var refused refusalError
 		if errors.As(err, &refused) {
 			limitWriting(w, writeMargin)
-			limitReading(w, request, refusedBodyTime)
+			limitReading(w, request, r.discardTime())
 			r.refuse(w, requestInfo, refused, snapshot.Age(began), elmclock.Now()-began)
 		}
 		return
@@ -157,10 +157,10 @@
 		return a, refusalError{http.StatusRequestHeaderFieldsTooLarge, reasonHeaders}
 	}
 	limitReading(w, request, a.timeLimit-(elmclock.Now()-began))
-	stop := context.AfterFunc(request.Context(), func() { limitReading(w, request, 0) })
+	stop := context.AfterFunc(r.bodies, func() { limitReading(w, request, 0) })
 	defer stop()
 	var err error
-	a.body, err = readBody(request, limits.BodyBytes)
+	a.body, err = readBody(r.bodies, request, limits.BodyBytes)
 	a.signatures = signaturesOf(request, a)
 	return a, err
 }
@@ -208,8 +208,9 @@
 	return size
 }
 
-// readBody reads the body of a request up to a limit. A limit of 0 means none.
-func readBody(request *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of a request up to a limit, until the context ends. A limit of 0
+// means none.
+func readBody(ctx context.Context, request *http.Request, limit int64) ([]byte, error) {
 	if limit > 0 && request.ContentLength > limit {
 		return nil, refusalError{http.StatusRequestEntityTooLarge, reasonBody}
 	}
@@ -219,7 +220,7 @@
 	}
 	body, err := io.ReadAll(reader)
 	switch {
-	case err != nil && errors.Is(context.Cause(request.Context()), errStopping):
+	case err != nil && ctx.Err() != nil:
 		return nil, refusalError{http.StatusServiceUnavailable, reasonStopping}
 	case err != nil:
 		return nil, refusalError{http.StatusRequestTimeout, reasonBodyUnread}
