Bound the time in which the body of a request comes in

On the own interface nothing bounded that time. A caller whose body stopped kept a place of its workspace for as long as its connection was open, got no answer, not even a 401, since net/http reads the body before it sends one, and held an entry that was stopping for the two minutes of its drain.

Nothing may come in for ten seconds at most, as for heads, and all of a body has to come in within a minute. Then it is refused with 408, and with the outcome not-run (unknown with an idempotency key, as all refusals before the claim is read). The deadline ends with the body: net/http sets its own once it has read it.

The test failed before, at an entry that gets SIGTERM with three such bodies:

body_test.go:43: completion: read tcp: i/o timeout body_test.go:43: request: read tcp: i/o timeout body_test.go:43: unknown credential: read tcp: i/o timeout

after 20 s; now they get 408, 408 and 401, and the end of the connection.

--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -146,7 +146,7 @@
 	listener := elmlistener.New(inner, elmlistener.WithHeadLimit(headerTimeout),
 		elmlistener.WithIdleLimit(func() time.Duration { return idleTimeout }))
 	server := &http.Server{ //nolint:gosec // The listener limits the time for a head.
-		Handler: e.closeIfDraining(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: listener.OnStateChange,
+		Handler: e.closeIfDraining(limitBodies(handler)), MaxHeaderBytes: maxHeaderBytes, ConnState: listener.OnStateChange,
 	}
 	elmabort.Protect(server)
 	go func() {
--- a/internal/entry/elmentry/handlers.go
+++ b/internal/entry/elmentry/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -88,12 +87,14 @@
 	return &elmapi.ProblemStatusCode{StatusCode: p.status, Response: p.response()}
 }
 
-// handleError answers requests that do not match the schema.
+// handleError answers requests that do not match the schema or can't be read.
 func (e *Entry) handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
-	var tooLarge *http.MaxBytesError
-	p := problem{status: ogenerrors.ErrorCode(err), title: "request is not valid", detail: err.Error()}
-	if errors.As(err, &tooLarge) {
-		p = bodyTooLarge(tooLarge)
+	p, ok := bodyProblem(err)
+	if !ok {
+		p = problem{status: ogenerrors.ErrorCode(err), title: "request is not valid", detail: err.Error()}
+	}
+	if p.status == http.StatusRequestTimeout {
+		w.Header().Set("Connection", "close")
 	}
 	e.refuse(w, beforeClaim(r, p))
 }
