--- a/internal/forward/elmrouter/silence_test.go
+++ b/internal/forward/elmrouter/silence_test.go
@@ -70,6 +70,15 @@
 	beforeReadingRest = "inside the body, which is ahead of the request"
 )
 
+// resetKey is a request of a test.
+type resetKey struct {
+	received *atomic.Int32
+	target   string
+}
+
+// resets holds the requests that have come. One that is reset is served if it comes again.
+var resets sync.Map
+
 // serveSilently serves the requests of a connection.
 func serveSilently(conn net.Conn, received *atomic.Int32) {
 	defer conn.Close() //nolint:errcheck // The connection is no longer needed.
@@ -84,10 +93,18 @@
 		if received.Add(1) > 1 && r.URL.Query().Has("once") {
 			silence = 0
 		}
+		reset := r.URL.Query().Get("then") == "reset"
+		if _, again := resets.LoadOrStore(resetKey{received, r.RequestURI}, true); reset && again {
+			reset, silence = false, 0
+		}
 		isSilentAt := func(places ...string) {
 			for _, p := range places {
 				if p == place {
 					<-time.After(silence)
+					if reset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+						_ = conn.Close()
+					}
 				}
 			}
 		}
