--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -152,7 +152,7 @@
 	listener := elmlistener.New(inner, elmlistener.WithHeadLimit(headerTimeout),
 		elmlistener.WithIdleLimit(func() time.Duration { return idleTimeout }))
 	server := &http.Server{ //nolint:gosec // The listener limits the time for a head.
-		Handler: e.announceReuse(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: listener.OnStateChange, ConnContext: elmlistener.ConnContext,
+		Handler: e.announceReuse(limitBodies(handler)), MaxHeaderBytes: maxHeaderBytes, ConnState: listener.OnStateChange, ConnContext: elmlistener.ConnContext,
 	}
 	elmabort.Protect(server)
 	go func() {
--- a/internal/entry/elmentry/handlers.go
+++ b/internal/entry/elmentry/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,7 +11,6 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"github.com/elmcove/elmcove/internal/config/elmconfig"
-	"github.com/elmcove/elmcove/internal/limit/elmmemory"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/wire/elmapi"
 )
@@ -91,16 +89,13 @@
 	return &elmapi.ProblemStatusCode{StatusCode: p.status, Response: p.response()}
 }
 
-// handleError answers requests that do not match the schema.
+// handleError answers requests that do not match the schema or can't be read.
 func (e *Entry) handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
-	var tooLarge *http.MaxBytesError
-	p := problem{status: ogenerrors.ErrorCode(err), title: "request is not valid", detail: err.Error()}
-	switch {
-	case errors.As(err, &tooLarge):
-		p = bodyTooLarge(tooLarge)
-	case errors.Is(err, elmmemory.ErrExhausted):
-		w.Header().Set("Connection", "close") // Otherwise the rest of the body is read first.
-		p = problem{status: http.StatusServiceUnavailable, title: "memory for bodies is in use", retry: retryAfter}
+	p, ok := bodyProblem(err)
+	if ok {
+		w.Header().Set("Connection", "close") // Otherwise net/http reads the rest of the body first.
+	} else {
+		p = problem{status: ogenerrors.ErrorCode(err), title: "request is not valid", detail: err.Error()}
 	}
 	e.refuse(w, beforeClaim(r, p))
 }
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -93,7 +93,7 @@
 		var refused refusalError
 		if errors.As(err, &refused) {
 			limitWriting(w, writeMargin)
-			limitReading(w, request, refusedBodyTime)
+			limitReading(w, request, r.discardTime())
 			r.refuse(w, request, requestInfo, refused, snapshot.Age(began), elmclock.Now()-began)
 		}
 		return
@@ -163,10 +163,10 @@
 		return a, refusalError{http.StatusRequestHeaderFieldsTooLarge, reasonHeaders}
 	}
 	limitReading(w, request, a.timeLimit-(elmclock.Now()-began))
-	stop := context.AfterFunc(request.Context(), func() { limitReading(w, request, 0) })
+	stop := context.AfterFunc(r.reading, func() { limitReading(w, request, 0) })
 	defer stop()
 	var err error
-	a.body, err = readBody(request, body, limits.BodyBytes)
+	a.body, err = readBody(r.reading, request, body, limits.BodyBytes)
 	a.signatures = signaturesOf(request, a)
 	return a, err
 }
@@ -214,8 +214,9 @@
 	return size
 }
 
-// readBody reads the body of a request up to a limit. A limit of 0 means none.
-func readBody(request *http.Request, reader io.Reader, limit int64) ([]byte, error) {
+// readBody reads the body of a request up to a limit, until the context ends. A limit of 0
+// means none.
+func readBody(ctx context.Context, request *http.Request, reader io.Reader, limit int64) ([]byte, error) {
 	if limit > 0 && request.ContentLength > limit {
 		return nil, refusalError{http.StatusRequestEntityTooLarge, reasonBody}
 	}
@@ -226,7 +227,7 @@
 	switch {
 	case errors.Is(err, elmmemory.ErrExhausted):
 		return nil, refusalError{http.StatusServiceUnavailable, reasonMemory}
-	case err != nil && errors.Is(context.Cause(request.Context()), errStopping):
+	case err != nil && ctx.Err() != nil:
 		return nil, refusalError{http.StatusServiceUnavailable, reasonStopping}
 	case err != nil:
 		return nil, refusalError{http.StatusRequestTimeout, reasonBodyUnread}
