Limit what a process keeps of a response of the key-value service

An entry and an agent do the same beside a key-value service, or whatever answers at its address now, that sends without end: the generated client reads each body with io.ReadAll, only the list of instances had a limit (64 MiB, for responses with status 200), and the head was limited at 10 MiB. A watch may read for its whole wait.

Now all responses go through elmbounded.Transport: 64 KiB for a head, 16 MiB for a body, which is the longest message of a link, and 32 MiB for all bodies of a process at the same time. A body beyond the limit is ErrUnavailable, like any other response that can't be used, so a write is read back and its outcome stays open.

--- a/internal/registry/elmstore/elmstore.go
+++ b/internal/registry/elmstore/elmstore.go
@@ -24,11 +24,19 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
 
-// callTimeout limits one call. A watch adds its wait.
-const callTimeout = 500 * time.Millisecond
+const (
+	// callTimeout limits one call. A watch adds its wait.
+	callTimeout = 500 * time.Millisecond
+	// maxHeadBytes and maxBodyBytes limit each response, and budgetBytes limits the
+	// bodies that are read at the same time.
+	maxHeadBytes = 64 << 10
+	maxBodyBytes = 16 << 20
+	budgetBytes  = 32 << 20
+)
 
 // ErrUnavailable reports that the service gave no usable response. A write may
 // or may not have taken effect.
@@ -71,9 +79,19 @@
 	return func(t *rosterTransport) { t.omitted = omitted }
 }
 
+// WithBudget sets the budget for the bodies of responses, which the process may share with
+// those of other clients.
+func WithBudget(budget *elmbounded.Budget) Option {
+	return func(t *rosterTransport) { t.next = t.next.WithBudget(budget) }
+}
+
 // New returns a client for the platform at an HTTP address.
 func New(address string, options ...Option) (*Store, error) {
-	transport := rosterTransport{next: &http.Transport{}, omitted: func(string, error) {}}
+	bounded := elmbounded.NewTransport(&http.Transport{}, maxHeadBytes, maxBodyBytes)
+	transport := rosterTransport{
+		next:    bounded.WithBudget(elmbounded.NewBudget(budgetBytes)),
+		omitted: func(string, error) {},
+	}
 	for _, option := range options {
 		option(&transport)
 	}
--- a/internal/registry/elmstore/roster.go
+++ b/internal/registry/elmstore/roster.go
@@ -12,13 +12,10 @@
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
 
-// maxListBytes limits the platform's list of instances.
-const maxListBytes = 64 << 20
-
 // rosterTransport removes from the platform's instance list what does not match the schema
 // of an instance. The generated decoder rejects the complete list otherwise.
 type rosterTransport struct {
-	next    http.RoundTripper
+	next    *elmbounded.Transport
 	omitted func(instance string, err error)
 }
 
@@ -28,13 +25,18 @@
 	if err != nil || !strings.HasSuffix(request.URL.Path, "/instances") || response.StatusCode != http.StatusOK {
 		return response, err //nolint:wrapcheck // The client wraps it.
 	}
-	defer response.Body.Close() //nolint:errcheck // The body has been read.
-	document, err := elmbounded.ReadAll(response.Body, maxListBytes)
+	document, err := elmbounded.ReadAll(response.Body, maxBodyBytes)
 	if err != nil {
+		_ = response.Body.Close() // The response is no longer used.
 		return nil, fmt.Errorf("read the instance list: %w", err)
 	}
 	document = t.usable(document)
-	response.Body, response.ContentLength = io.NopCloser(bytes.NewReader(document)), int64(len(document))
+	response.ContentLength = int64(len(document))
+	// The body keeps its part of the budget while the list is decoded.
+	response.Body = struct {
+		io.Reader
+		io.Closer
+	}{bytes.NewReader(document), response.Body}
 	return response, nil
 }
 
