Limit what an operator's command keeps of an entry's response

What operators would see: status, explain or a command with -wait that runs out of memory instead of leaving out the entry, when what answers at the address of a listed entry sends without end. The body had no limit, the head one of 10 MiB. It also took a status with other bytes behind it for a status.

Now the head has at most 64 KiB and the body 16 MiB, and the whole body has to be the document.

--- a/internal/config/elmsite/elmsite.go
+++ b/internal/config/elmsite/elmsite.go
@@ -28,11 +28,17 @@
 	"github.com/elmcove/elmcove/internal/entry/elmledger"
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 	"github.com/elmcove/elmcove/internal/registry/elmstore"
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
 
-// requestTimeout limits a status request to one entry.
-const requestTimeout = time.Second
+const (
+	// requestTimeout limits a status request to one entry.
+	requestTimeout = time.Second
+	// maxHeadBytes and maxBodyBytes limit the response to it.
+	maxHeadBytes = 64 << 10
+	maxBodyBytes = 16 << 20
+)
 
 // ErrSite reports that a site's configuration or its entries can't be read.
 var ErrSite = errors.New("site")
@@ -85,7 +91,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSite, err)
 	}
-	return &Site{name: name, store: store, client: &http.Client{Timeout: requestTimeout}}, nil
+	transport := elmbounded.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment}, maxHeadBytes, maxBodyBytes)
+	return &Site{name: name, store: store, client: &http.Client{Timeout: requestTimeout, Transport: transport}}, nil
 }
 
 // Config returns the accepted configuration. It is empty before the first
@@ -336,7 +343,11 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%w: %s: %s", ErrSite, address, response.Status)
 	}
-	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+	document, err := elmbounded.ReadAll(response.Body, maxBodyBytes)
+	if err == nil {
+		err = json.Unmarshal(document, result)
+	}
+	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrSite, address, err)
 	}
 	return nil
