Limit the memory for all responses that an agent keeps

A real agent with 56 such requests at once, beside orders of others at the same endpoint, takes more than the 152 MB of its instance and would be ended there, with the requests of others.

Cause: each body that is no event stream was kept up to 4 MiB, in a slice that grows by copying, for each of 64 slots at once, and as one piece until the caller had read it all; the state of a keyed request then kept it until its record was written.

Now the agent keeps bodies in parts that it drops as they are sent, keeps of each only the start that a record may hold, and gives the bodies of its endpoint and of the key-value service one budget of 24 MiB beyond the first 32 KiB of each. Larger bodies wait for each other, until their deadline; small ones don't.

The new test runs real processes, without the race detector.

The table of TestEndlessResponses, which ran for heads and bodies, now has every part of a response for each call; its cases held before.

--- a/internal/agent/elmagent/elmagent.go
+++ b/internal/agent/elmagent/elmagent.go
@@ -31,6 +31,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/observe/elmtrace"
 	"github.com/elmcove/elmcove/internal/registry/elmstore"
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmkeys"
 	"github.com/elmcove/elmcove/internal/wire/elmlink"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
@@ -42,6 +43,9 @@
 	drainTimeout = 2 * time.Minute
 	// seenMargin is how long an attempt is remembered after its deadline.
 	seenMargin = time.Minute
+	// budgetBytes limits the response bodies that are kept at the same time, of the
+	// endpoint and of the key-value service.
+	budgetBytes = 24 << 20
 )
 
 // ErrAgent reports that the agent can't run.
@@ -76,7 +80,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrAgent, err)
 	}
-	store, err := elmstore.New(settings.Platform)
+	budget := elmbounded.NewBudget(budgetBytes)
+	store, err := elmstore.New(settings.Platform, elmstore.WithBudget(budget))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrAgent, err)
 	}
@@ -85,7 +90,7 @@
 		incarnation: uuid.NewString(),
 		keys:        keys,
 		store:       store,
-		client:      elmendpointclient.New(settings.Endpoint),
+		client:      elmendpointclient.New(settings.Endpoint).WithBudget(budget),
 		logger:      elmlog.Discard(),
 		tracer:      elmtrace.Discard(),
 		meter:       elmmeter.New(),
--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -31,7 +31,10 @@
 	// keyHeader is the header that carries the idempotency key to the endpoint.
 	keyHeader = "Elmcove-Key"
 
-	chunkBytes         = 32 << 10
+	// minChunkBytes and maxChunkBytes are the sizes of the first and the later parts in
+	// which a body is kept.
+	minChunkBytes      = 1 << 10
+	maxChunkBytes      = 32 << 10
 	maxBodyPrefixBytes = 4096
 	loadPath           = "/load"
 	loadTimeout        = 200 * time.Millisecond
@@ -62,8 +65,7 @@
 	Data(data []byte, step time.Duration) error
 }
 
-// Reply describes a complete response. For an event stream, Body holds only the
-// start of a long body.
+// Reply describes a complete response. Body holds only the start of a long body.
 type Reply struct {
 	Status uint32
 	Media  string
@@ -82,6 +84,7 @@
 	endpoint string
 	requests *http.Client
 	reports  *http.Client
+	budget   *elmbounded.Budget
 }
 
 // New returns a Client for the endpoint at a URL.
@@ -89,10 +92,16 @@
 	return &Client{
 		endpoint: strings.TrimSuffix(endpoint, "/"),
 		requests: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
-		reports:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}},
+		reports:  &http.Client{Transport: elmbounded.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1}, maxHeadBytes, maxLoadBytes)},
 	}
 }
 
+// WithBudget returns a copy whose responses share a budget, except event streams, of which
+// only one event is kept.
+func (c *Client) WithBudget(budget *elmbounded.Budget) *Client {
+	return &Client{endpoint: c.endpoint, requests: c.requests, reports: c.reports, budget: budget}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.requests.CloseIdleConnections()
@@ -115,6 +124,7 @@
 		marked := open.GetPath() == completionPath && response.StatusCode == http.StatusOK
 		return c.forwardStream(reply, response.Body, sink, marked)
 	}
+	c.budget.LimitBody(response, maxBodyBytes)
 	return c.forwardComplete(reply, response.Body, sink)
 }
 
@@ -212,24 +222,42 @@
 }
 
 func (c *Client) forwardComplete(reply Reply, body io.Reader, sink Sink) (Reply, error) {
-	data, err := elmbounded.ReadAll(body, maxBodyBytes)
+	chunks, err := readChunks(body)
 	if err != nil {
 		return reply, fmt.Errorf("%w: %w", ErrEndpoint, err)
 	}
-	reply.Body = data
 	if err := sink.Head(&elmwire.Head{Status: reply.Status, Media: reply.Media}); err != nil {
 		return reply, err
 	}
-	for len(data) > 0 {
-		n := min(len(data), chunkBytes)
-		if err := sink.Data(data[:n], 0); err != nil {
+	for _, chunk := range chunks {
+		reply.Body = appendPrefix(reply.Body, chunk)
+		if err := sink.Data(chunk, 0); err != nil {
 			return reply, err
 		}
-		data = data[n:]
 	}
 	return reply, nil
 }
 
+// readChunks reads a body to its end. Unlike io.ReadAll, it never holds a body twice.
+func readChunks(body io.Reader) ([][]byte, error) {
+	var chunks [][]byte
+	chunk := make([]byte, 0, minChunkBytes)
+	for {
+		n, err := body.Read(chunk[len(chunk):cap(chunk)])
+		chunk = chunk[:len(chunk)+n]
+		if (err != nil || len(chunk) == cap(chunk)) && len(chunk) > 0 {
+			chunks = append(chunks, chunk)
+			chunk = make([]byte, 0, min(2*cap(chunk), maxChunkBytes))
+		}
+		if errors.Is(err, io.EOF) {
+			return chunks, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // isRefusal reports whether a status means that another endpoint should be tried.
 func isRefusal(status int) bool {
 	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
--- a/internal/agent/elmendpointclient/endless_test.go
+++ b/internal/agent/elmendpointclient/endless_test.go
@@ -3,78 +3,72 @@
 import (
 	"context"
 	"io"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/agent/elmendpointclient"
+	"github.com/elmcove/elmcove/internal/stand/elmscript"
+	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
-// endless sends a head and then bytes until the connection is closed.
-func endless(media string, inHead bool) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close() //nolint:errcheck // The client has closed it.
-		head := "HTTP/1.1 200 OK\r\nContent-Type: " + media + "\r\n"
-		if !inHead {
-			head += "\r\n"
-		}
-		block := strings.Repeat("A", 4096)
-		if inHead {
-			block = strings.Repeat("A: b\r\n", 700)
-		}
-		for _, err = io.WriteString(conn, head); err == nil; {
-			_, err = io.WriteString(conn, block)
-		}
-	})
-}
-
 // Guards against an agent that runs out of memory because its endpoint sends bytes
 // without end, in each place that reads from the endpoint.
 func TestEndlessResponses(t *testing.T) {
-	call := func(ctx context.Context, c *elmendpointclient.Client) error {
-		_, err := c.Call(ctx, &elmwire.Open{Method: "POST", Path: "/orders"}, &recorder{})
-		return err
-	}
-	once := func(ctx context.Context, c *elmendpointclient.Client) error {
-		_, err := c.Call(ctx, &elmwire.Open{Method: "POST", Path: "/orders", Once: true}, &recorder{})
-		return err
+	const (
+		ok     = "HTTP/1.1 200 OK\r\n"
+		json   = ok + "Content-Type: application/json\r\n"
+		events = ok + "Content-Type: text/event-stream\r\n"
+		chunks = "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	calls := map[string]func(context.Context, *elmendpointclient.Client) error{
+		"call": func(ctx context.Context, c *elmendpointclient.Client) error {
+			_, err := c.Call(ctx, &elmwire.Open{Method: "POST", Path: "/orders"}, &recorder{})
+			return err
+		},
+		"keyed call": func(ctx context.Context, c *elmendpointclient.Client) error {
+			_, err := c.Call(ctx, &elmwire.Open{Method: "POST", Path: "/orders", Once: true}, &recorder{})
+			return err
+		},
+		"load report": func(ctx context.Context, c *elmendpointclient.Client) error {
+			_, err := c.Load(ctx)
+			return err
+		},
 	}
-	load := func(ctx context.Context, c *elmendpointclient.Client) error {
-		_, err := c.Load(ctx)
-		return err
-	}
-	for name, c := range map[string]struct {
-		media  string
-		inHead bool
-		do     func(context.Context, *elmendpointclient.Client) error
-	}{
-		"head":                 {inHead: true, do: call},
-		"head of a keyed call": {inHead: true, do: once},
-		"body":                 {media: "application/json", do: call},
-		"event":                {media: "text/event-stream", do: call},
-		"load report":          {media: "application/json", do: load},
-		"head of a report":     {inHead: true, do: load},
+	for name, r := range map[string]struct{ first, repeated string }{
+		"status line":        {"HTTP/1.1 200 ", "x"},
+		"head":               {ok, "A: b\r\n"},
+		"header line":        {ok + "A: ", "x"},
+		"interim responses":  {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		"body":               {json + "\r\n", "x"},
+		"declared length":    {json + "Content-Length: 99999999999\r\n\r\n", "x"},
+		"failure":            {"HTTP/1.1 503 Busy\r\n\r\n", "x"},
+		"chunks":             {json + chunks, "40\r\n" + strings.Repeat("x", 64) + "\r\n"},
+		"chunk extension":    {json + chunks + "1;", "x"},
+		"trailer":            {json + chunks + "0\r\nA: ", "x"},
+		"line of an event":   {events + "\r\n", "A"},
+		"lines of an event":  {events + "\r\n", "a\n"},
+		"chunks of an event": {events + chunks, "1\r\nA\r\n"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(endless(c.media, c.inHead))
-			defer server.Close()
-			client := elmendpointclient.New(server.URL)
-			defer client.Close()
-			start := time.Now()
-			if err := c.do(t.Context(), client); err == nil {
-				t.Error("no error")
-			}
-			if elapsed := time.Since(start); elapsed > 3*time.Second {
-				t.Errorf("ended after %v", elapsed)
-			}
-		})
+		for call, do := range calls {
+			t.Run(call+", "+name, func(t *testing.T) {
+				t.Parallel()
+				client := serve(t, func(x elmscript.Exchange) bool {
+					_, err := io.WriteString(x, r.first)
+					for block := strings.Repeat(r.repeated, 4096); err == nil; {
+						_, err = io.WriteString(x, block)
+					}
+					return false
+				}).WithBudget(elmbounded.NewBudget(4 << 20))
+				start := time.Now()
+				if err := do(t.Context(), client); err == nil {
+					t.Error("no error")
+				}
+				if elapsed := time.Since(start); elapsed > 3*time.Second {
+					t.Errorf("ended after %v", elapsed)
+				}
+			})
+		}
 	}
 }
--- a/internal/stand/elmservice/elmservice.go
+++ b/internal/stand/elmservice/elmservice.go
@@ -43,6 +43,7 @@
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.handleCall)
+	mux.HandleFunc("POST /endless/{name}", handleEndless)
 	mux.HandleFunc("POST /control/break", func(_ http.ResponseWriter, r *http.Request) {
 		s.BreakNext(elmbody.Ending(r.URL.Query().Get("ending")))
 	})
@@ -87,6 +88,14 @@
 	b.Close()
 }
 
+// handleEndless answers with the response without end that the path names.
+func handleEndless(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // The service ignores the body.
+	if !elmbody.WriteEndless(w, r.PathValue("name")) {
+		http.NotFound(w, r)
+	}
+}
+
 // execute counts an execution. It returns the number of the order, and how the
 // response ends, or "".
 func (s *Service) execute(key string) (number int, ending elmbody.Ending) {
