Keep streams that are not read from holding up the others of a link

What callers would see: responses that stop for up to 30 s, the limit of a write, and then end without an answer, because other callers have stopped reading. A stream without end makes that easy: its caller gives up reading, and the entry reads no more of it.

Cause: all streams of a link shared a receive window of 256 KiB, which grows only while they are read. A few unread streams of 64 KiB each used it up, and the agent could send nothing more to this entry: no response and no message of the control stream. On the other side, a link that had been read fast held up to 15 MiB.

Now a stream may hold 128 KiB, and the window of the link has room for all its streams. The memory is that of the open requests, which workspaces limit, and no longer depends on the number of links.

--- a/internal/wire/elmlink/elmlink.go
+++ b/internal/wire/elmlink/elmlink.go
@@ -35,12 +35,17 @@
 	// request.
 	CodeCancelled quic.StreamErrorCode = 1
 
-	idleTimeout       = 3 * time.Second
-	helloTimeout      = 2 * time.Second
-	maxMessageBytes   = 16 << 20
-	maxStreams        = 4096
-	streamWindowBytes = 64 << 10
-	linkWindowBytes   = 256 << 10
+	idleTimeout     = 3 * time.Second
+	helloTimeout    = 2 * time.Second
+	maxMessageBytes = 16 << 20
+	maxStreams      = 4096
+	// streamWindowBytes and maxStreamWindowBytes limit what is received of a stream and
+	// not read yet, at first and when it is read fast.
+	streamWindowBytes    = 64 << 10
+	maxStreamWindowBytes = 128 << 10
+	// linkWindowBytes has room for all streams, so that those that are not read never hold
+	// up others or the control stream.
+	linkWindowBytes = maxStreams * maxStreamWindowBytes
 )
 
 var (
@@ -80,7 +85,9 @@
 		MaxIncomingUniStreams:          -1,
 		DisablePathMTUDiscovery:        true,
 		InitialStreamReceiveWindow:     streamWindowBytes,
+		MaxStreamReceiveWindow:         maxStreamWindowBytes,
 		InitialConnectionReceiveWindow: linkWindowBytes,
+		MaxConnectionReceiveWindow:     linkWindowBytes,
 	}
 }
 
