--- a/internal/wire/elmbounded/elmbounded.go
+++ b/internal/wire/elmbounded/elmbounded.go
@@ -1,9 +1,15 @@
-// Package elmbounded reads bodies up to a limit. A body beyond the limit is an error,
-// never a shorter body.
+// Package elmbounded limits what is read of an HTTP response, whatever its sender writes. A
+// head or body beyond the limit is an error, never a shorter head or body.
 //
 // # Usage
 //
 //	document, err := elmbounded.ReadAll(response.Body, 1<<20)
+//
+// Transport limits all responses of a client, also those that generated code reads:
+//
+//	client := &http.Client{Transport: elmbounded.NewTransport(&http.Transport{}, 64<<10, 1<<20)}
+//
+// Budget limits the memory for all bodies that a process reads at the same time.
 package elmbounded
 
 import (
