Limit all responses of a client in its transport

Generated decoders read a body with io.ReadAll, and an http.Transport without MaxResponseHeaderBytes reads a head of 10 MiB. elmbounded.Transport limits the head with its interim responses, and the body, of every response of a client.

--- a/internal/wire/elmbounded/elmbounded.go
+++ b/internal/wire/elmbounded/elmbounded.go
@@ -1,9 +1,13 @@
-// Package elmbounded reads bodies up to a limit. A body beyond the limit is an error,
-// never a shorter body.
+// Package elmbounded limits what is read of an HTTP response, whatever its sender writes. A
+// head or body beyond the limit is an error, never a shorter head or body.
 //
 // # Usage
 //
 //	document, err := elmbounded.ReadAll(response.Body, 1<<20)
+//
+// Transport limits all responses of a client, also those that generated code reads:
+//
+//	client := &http.Client{Transport: elmbounded.NewTransport(&http.Transport{}, 64<<10, 1<<20)}
 package elmbounded
 
 import (
@@ -22,7 +26,7 @@
 		return nil, fmt.Errorf("read body: %w", err)
 	}
 	if int64(len(document)) > limit {
-		return nil, fmt.Errorf("%w: limit is %d bytes", ErrTooLong, limit)
+		return nil, tooLong(limit)
 	}
 	return document, nil
 }
