--- a/internal/wire/elmbounded/elmbounded.go
+++ b/internal/wire/elmbounded/elmbounded.go
@@ -8,6 +8,8 @@
 // Transport limits all responses of a client, also those that generated code reads:
 //
 //	client := &http.Client{Transport: elmbounded.NewTransport(&http.Transport{}, 64<<10, 1<<20)}
+//
+// Budget limits the memory for all bodies that a process reads at the same time.
 package elmbounded
 
 import (
@@ -26,7 +28,7 @@
 		return nil, fmt.Errorf("read body: %w", err)
 	}
 	if int64(len(document)) > limit {
-		return nil, tooLong(limit)
+		return nil, fmt.Errorf("%w: limit is %d bytes", ErrTooLong, limit)
 	}
 	return document, nil
 }
