Limit the heads of agents, other entries and the store

What callers see: an agent of 152 MB or an entry of 184 MB that runs out of memory ends, and the requests of all its callers with it, because what answers at the address of an agent, another entry or the store sends a head without end, as a faulty process does, or another one that has the address now.

Cause: these three clients had net/http's limit for heads, 10 MiB of text, which become up to 206 MB of allocations (many lines) for each call, and an agent calls 8 others at a time, an entry 3 entries. The answer of an agent had 4 MiB for each rank.

Fix: elmbounded.Transport limits heads to 64 KiB, as the clients of ranks and endpoints do, and interim responses count to it.

--- a/internal/expert/elmgroup/agents.go
+++ b/internal/expert/elmgroup/agents.go
@@ -36,9 +36,12 @@
 const MaxCollected = 32
 
 const (
-	// maxStatesBytes limits the answer of an agent.
-	maxStatesBytes = 4 << 20
-	idleTimeout    = 5 * time.Second
+	// maxHeadBytes limits the head of an agent's answer, and maxStatesBytes its body.
+	maxHeadBytes   = 64 << 10
+	maxStatesBytes = 1 << 20
+	// maxStateBytes limits the state of one rank.
+	maxStateBytes = 256 << 10
+	idleTimeout   = 5 * time.Second
 )
 
 // ErrAgent reports a call to an agent without a usable answer.
@@ -53,9 +56,9 @@
 // NewAgents returns a client for agents that listen on a port of the instances of their
 // ranks, with a timeout for each call.
 func NewAgents(port int, timeout time.Duration) *Agents {
-	return &Agents{port: port, client: &http.Client{Timeout: timeout, Transport: &http.Transport{
+	return &Agents{port: port, client: &http.Client{Timeout: timeout, Transport: elmbounded.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	}, maxHeadBytes, maxStatesBytes)}}
 }
 
 // Address returns the address of the agent beside a rank.
@@ -70,16 +73,16 @@
 // State fetches the state of a rank for a planner.
 func (a *Agents) State(ctx context.Context, rank, planner string) (*elmpeer.RankState, error) {
 	state := &elmpeer.RankState{}
-	return state, a.get(ctx, rank, StatePath, url.Values{"for": {planner}}, state)
+	return state, a.get(ctx, rank, StatePath, url.Values{"for": {planner}}, maxStateBytes, state)
 }
 
 // Collect fetches the states of ranks for a planner through the agent of one of them.
 func (a *Agents) Collect(ctx context.Context, collector, planner string, ranks []string) (*elmpeer.RankStates, error) {
 	states := &elmpeer.RankStates{}
-	return states, a.get(ctx, collector, CollectPath, url.Values{"for": {planner}, "rank": ranks}, states)
+	return states, a.get(ctx, collector, CollectPath, url.Values{"for": {planner}, "rank": ranks}, maxStatesBytes, states)
 }
 
-func (a *Agents) get(ctx context.Context, rank, path string, query url.Values, answer proto.Message) error {
+func (a *Agents) get(ctx context.Context, rank, path string, query url.Values, maxBytes int64, answer proto.Message) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address(rank)+path+"?"+query.Encode(), nil)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrAgent, err)
@@ -92,7 +95,7 @@
 	if response.StatusCode != http.StatusOK || response.ContentLength < 0 {
 		return fmt.Errorf("%w: status %d, length %d", ErrAgent, response.StatusCode, response.ContentLength)
 	}
-	document, err := elmbounded.ReadAll(response.Body, maxStatesBytes)
+	document, err := elmbounded.ReadAll(response.Body, maxBytes)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrAgent, err)
 	}
--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -39,8 +39,9 @@
 	SnapshotPath = "/peer/snapshot"
 	// fetchTimeout bounds one snapshot request.
 	fetchTimeout = 400 * time.Millisecond
-	// maxSnapshotBytes limits the size of a fetched snapshot.
-	maxSnapshotBytes = 16 << 20
+	// maxHeadBytes limits the head of a response, and maxSnapshotBytes its body.
+	maxHeadBytes     = 64 << 10
+	maxSnapshotBytes = 8 << 20
 	// maxDatagramBytes limits the size of a received datagram.
 	maxDatagramBytes = 60 << 10
 	// fetchFanOut is the number of peers that snapshots are requested from at once.
@@ -65,8 +66,10 @@
 // requested from the seeds while no other entry is known.
 func New(address string, seeds []string) *Peers {
 	return &Peers{address: address, seeds: seeds, client: &http.Client{
-		Timeout:   fetchTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true},
+		Timeout: fetchTimeout,
+		Transport: elmbounded.NewTransport(&http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+		}, maxHeadBytes, maxSnapshotBytes),
 	}}
 }
 
--- /dev/null
+++ b/internal/stand/elmendless/elmendless.go
@@ -0,0 +1,106 @@
+// Package elmendless stands in for a faulty HTTP server that answers each request with
+// bytes without end, and measures what a caller allocates meanwhile.
+//
+// # Usage
+//
+//	for name, answer := range elmendless.Answers() {
+//		address, err := elmendless.Serve(ctx, answer)
+//		allocated := elmendless.Allocated(func() { _ = call(address) })
+//	}
+package elmendless
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+)
+
+// blockBytes is the size of the blocks that are written.
+const blockBytes = 32 << 10
+
+// Answer is an answer without end.
+type Answer struct {
+	// First is written once, and Repeated after it until the caller closes.
+	First, Repeated string
+}
+
+// Answers returns answers that are wrong for each client, by name.
+func Answers() map[string]Answer {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	return map[string]Answer{
+		"no status line":     {Repeated: "x"},
+		"status line":        {First: "HTTP/1.1 200 ", Repeated: "x"},
+		"head":               {First: ok, Repeated: "A: b\r\n"},
+		"empty head lines":   {First: ok, Repeated: "A:\r\n"},
+		"head line":          {First: ok + "A: ", Repeated: "x"},
+		"continued line":     {First: ok + "A: b\r\n", Repeated: " c\r\n"},
+		"interim responses":  {Repeated: "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		"body":               {First: ok + "\r\n", Repeated: "x"},
+		"body with length":   {First: ok + "Content-Length: 1000000000000\r\n\r\n", Repeated: "x"},
+		"body of an error":   {First: "HTTP/1.1 500 Internal Server Error\r\n\r\n", Repeated: "x"},
+		"chunks":             {First: ok + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "4\r\nbody\r\n"},
+		"chunk extension":    {First: ok + "Transfer-Encoding: chunked\r\n\r\n4;", Repeated: "x"},
+		"trailers":           {First: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeated: "A: b\r\n"},
+		"compressed":         {First: ok + "Content-Encoding: gzip\r\n\r\n" + gzipHead, Repeated: gzipBlock},
+		"compressed nothing": {First: ok + "Content-Encoding: gzip\r\n\r\n" + gzipHead, Repeated: gzipEmptyBlock},
+	}
+}
+
+const (
+	gzipHead = "\x1f\x8b\x08\x00\x00\x00\x00\x00\x00\xff"
+	// gzipBlock is a block of 4 bytes that are stored, and gzipEmptyBlock one of none.
+	gzipBlock      = "\x00\x04\x00\xfb\xffbody"
+	gzipEmptyBlock = "\x00\x00\x00\xff\xff"
+)
+
+// Serve answers each request until the context ends, and returns the address.
+func Serve(ctx context.Context, answer Answer) (string, error) {
+	return ServeAt(ctx, "127.0.0.1:0", answer)
+}
+
+// ServeAt is Serve at an address.
+func ServeAt(ctx context.Context, address string, answer Answer) (string, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
+	if err != nil {
+		return "", fmt.Errorf("endless answers: %w", err)
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	first, block := []byte(answer.First), bytes.Repeat([]byte(answer.Repeated), blockBytes/len(answer.Repeated))
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(ctx, conn, first, block)
+		}
+	}()
+	return listener.Addr().String(), nil
+}
+
+// serve answers the first request of a connection until the caller closes.
+func serve(ctx context.Context, conn net.Conn, first, block []byte) {
+	defer conn.Close() //nolint:errcheck // The connection is no longer needed.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	for _, err := conn.Write(first); err == nil; {
+		_, err = conn.Write(block)
+	}
+}
+
+// Allocated returns the number of bytes that the process allocates while a function runs,
+// which is at least what it holds at any time meanwhile.
+func Allocated(run func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
