Limit the fields of messages from agents and other entries

What callers see: an entry of 184 MB ends, and their requests with it, because what answers at the address of another entry or an agent sends a message of empty elements.

Cause: an empty element has two bytes in protobuf and about 80 in memory.

Fix: elmbounded.Unmarshal counts the fields before it decodes.

--- a/internal/expert/elmgroup/agents.go
+++ b/internal/expert/elmgroup/agents.go
@@ -41,7 +41,11 @@
 	maxStatesBytes = 1 << 20
 	// maxStateBytes limits the state of one rank.
 	maxStateBytes = 256 << 10
-	idleTimeout   = 5 * time.Second
+	// maxStateFields limits the fields of the state of one rank, and maxStatesFields those of
+	// collected ones: a report of each rank, and sums of groups.
+	maxStateFields  = 16
+	maxStatesFields = 4 * MaxCollected
+	idleTimeout     = 5 * time.Second
 )
 
 // ErrAgent reports a call to an agent without a usable answer.
@@ -73,16 +77,16 @@
 // State fetches the state of a rank for a planner.
 func (a *Agents) State(ctx context.Context, rank, planner string) (*elmpeer.RankState, error) {
 	state := &elmpeer.RankState{}
-	return state, a.get(ctx, rank, StatePath, url.Values{"for": {planner}}, maxStateBytes, state)
+	return state, a.get(ctx, rank, StatePath, url.Values{"for": {planner}}, maxStateBytes, maxStateFields, state)
 }
 
 // Collect fetches the states of ranks for a planner through the agent of one of them.
 func (a *Agents) Collect(ctx context.Context, collector, planner string, ranks []string) (*elmpeer.RankStates, error) {
 	states := &elmpeer.RankStates{}
-	return states, a.get(ctx, collector, CollectPath, url.Values{"for": {planner}, "rank": ranks}, maxStatesBytes, states)
+	return states, a.get(ctx, collector, CollectPath, url.Values{"for": {planner}, "rank": ranks}, maxStatesBytes, maxStatesFields, states)
 }
 
-func (a *Agents) get(ctx context.Context, rank, path string, query url.Values, maxBytes int64, answer proto.Message) error {
+func (a *Agents) get(ctx context.Context, rank, path string, query url.Values, maxBytes int64, maxFields int, answer proto.Message) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address(rank)+path+"?"+query.Encode(), nil)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrAgent, err)
@@ -99,7 +103,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrAgent, err)
 	}
-	if err := proto.Unmarshal(document, answer); err != nil {
+	if err := elmbounded.Unmarshal(document, answer, maxFields); err != nil {
 		return fmt.Errorf("%w: %w", ErrAgent, err)
 	}
 	return nil
--- a/internal/expert/elmgroup/endless_test.go
+++ b/internal/expert/elmgroup/endless_test.go
@@ -14,7 +14,13 @@
 // an agent sends bytes without end. An agent with 152 MB calls 8 others at a time.
 func TestEndlessAnswers(t *testing.T) {
 	const limit = 152 << 20 / 2 / 8
-	for name, answer := range elmendless.Answers() {
+	protobuf := map[string]elmendless.Answer{
+		"empty messages":  elmendless.Document("", "\x0a\x00", "", 256<<10),
+		"empty groups":    elmendless.Document("", "\x12\x00", "", 1<<20),
+		"unknown fields":  elmendless.Document("", "\x7a\x00", "", 1<<20),
+		"repeated report": elmendless.Document("", "\x0a\x02\x0a\x00", "", 1<<20),
+	}
+	for name, answer := range elmendless.Named(elmendless.Answers(), protobuf) {
 		t.Run(name, func(t *testing.T) {
 			address, err := elmendless.Serve(t.Context(), answer)
 			if err != nil {
--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -42,6 +42,8 @@
 	// maxHeadBytes limits the head of a response, and maxSnapshotBytes its body.
 	maxHeadBytes     = 64 << 10
 	maxSnapshotBytes = 8 << 20
+	// maxSnapshotFields limits the items and keys of a snapshot together.
+	maxSnapshotFields = 1 << 16
 	// maxDatagramBytes limits the size of a received datagram.
 	maxDatagramBytes = 60 << 10
 	// fetchFanOut is the number of peers that snapshots are requested from at once.
@@ -193,7 +195,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrPeers, err)
 	}
 	s := &elmpeer.Snapshot{}
-	if err := proto.Unmarshal(body, s); err != nil {
+	if err := elmbounded.Unmarshal(body, s, maxSnapshotFields); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrPeers, err)
 	}
 	return s, nil
--- a/internal/forward/elmpeers/endless_test.go
+++ b/internal/forward/elmpeers/endless_test.go
@@ -13,7 +13,13 @@
 // for three snapshots at a time.
 func TestEndlessSnapshots(t *testing.T) {
 	const limit = 184 << 20 * 2 / 3 / 3
-	for name, answer := range elmendless.Answers() {
+	protobuf := map[string]elmendless.Answer{
+		"empty items":    elmendless.Document("", "\x1a\x00", "", 8<<20),
+		"empty keys":     elmendless.Document("", "\x22\x00", "", 8<<20),
+		"unknown fields": elmendless.Document("", "\x7a\x00", "", 8<<20),
+		"long body":      elmendless.Document("", "\x00", "", 16<<20),
+	}
+	for name, answer := range elmendless.Named(elmendless.Answers(), protobuf) {
 		t.Run(name, func(t *testing.T) {
 			address, err := elmendless.Serve(t.Context(), answer)
 			if err != nil {
--- a/internal/stand/elmendless/elmendless.go
+++ b/internal/stand/elmendless/elmendless.go
@@ -14,9 +14,13 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
+
+	"github.com/elmcove/elmcove/internal/stand/elmscript"
 )
 
 // blockBytes is the size of the blocks that are written.
@@ -50,6 +54,13 @@
 	}
 }
 
+// Document returns an answer with a complete document, of a text that is repeated while the
+// document has at most a number of bytes, and what follows a response without end.
+func Document(first, repeated, last string, size int) Answer {
+	document := first + strings.Repeat(repeated, (size-len(first)-len(last))/len(repeated)) + last
+	return Answer{First: elmscript.Response("200 OK", document, fmt.Sprintf("Content-Length: %d", len(document))), Repeated: "x"}
+}
+
 const (
 	gzipHead = "\x1f\x8b\x08\x00\x00\x00\x00\x00\x00\xff"
 	// gzipBlock is a block of 4 bytes that are stored, and gzipEmptyBlock one of none.
@@ -57,6 +68,13 @@
 	gzipEmptyBlock = "\x00\x00\x00\xff\xff"
 )
 
+// Named returns answers with further ones.
+func Named(answers, further map[string]Answer) map[string]Answer {
+	all := maps.Clone(answers)
+	maps.Copy(all, further)
+	return all
+}
+
 // Serve answers each request until the context ends, and returns the address.
 func Serve(ctx context.Context, answer Answer) (string, error) {
 	return ServeAt(ctx, "127.0.0.1:0", answer)
