--- a/internal/stand/elmendless/elmendless.go
+++ b/internal/stand/elmendless/elmendless.go
@@ -46,7 +46,7 @@
 		"body":               {First: ok + "\r\n", Repeated: "x"},
 		"body with length":   {First: ok + "Content-Length: 1000000000000\r\n\r\n", Repeated: "x"},
 		"body of an error":   {First: "HTTP/1.1 500 Internal Server Error\r\n\r\n", Repeated: "x"},
-		"chunks":             {First: ok + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "4\r\nbody\r\n"},
+		"chunks":             {First: ok + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "20\r\n" + strings.Repeat("x", 32) + "\r\n"},
 		"chunk extension":    {First: ok + "Transfer-Encoding: chunked\r\n\r\n4;", Repeated: "x"},
 		"trailers":           {First: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeated: "A: b\r\n"},
 		"compressed":         {First: ok + "Content-Encoding: gzip\r\n\r\n" + gzipHead, Repeated: gzipBlock},
