Limit all pages of a read of the store together

What callers see: an entry of 184 MB or an agent of 152 MB ends, and the requests of its callers with it, because the store, or what answers at its address, sends pages without end, each of which says that there are more.

Cause: the entry and the agent read pages until the last one and kept them all. A page had a limit, the pages together had none.

Evidence: the test failed before, at the number of pages where it stops:

TestEndlessPages/new_keys: read 93 pages of 1 MB TestEndlessPages/same_key: read 93 pages of 1 MB TestEndlessPages/lower_keys: read 93 pages of 1 MB

The entry goes on with what it knows and its peers, as with a store that does not answer. The agent's list of ranks must now be of one era, as the entry's.

--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -181,20 +181,16 @@
 // rankAddresses returns the addresses of the service's ranks. The store's answer may
 // be seconds old.
 func (a *Agent) rankAddresses(ctx context.Context) ([]string, error) {
+	page, err := a.store.RangeAllStale(ctx, platform.EndpointPrefix)
+	if err != nil {
+		return nil, err
+	}
 	var found []string
-	for after, more := "", true; more; {
-		page, err := a.store.RangeStale(ctx, platform.EndpointPrefix, after)
-		if err != nil {
-			return nil, err
-		}
-		for _, i := range page.Items {
-			_, id := platform.ClassifyKey(i.Key)
-			if e, err := platform.DecodeEndpoint(id, i.Value); err == nil && e.Service == a.settings.Service {
-				found = append(found, e.Address)
-			}
-			after = i.Key
+	for _, i := range page.Items {
+		_, id := platform.ClassifyKey(i.Key)
+		if e, err := platform.DecodeEndpoint(id, i.Value); err == nil && e.Service == a.settings.Service {
+			found = append(found, e.Address)
 		}
-		more = page.More && len(page.Items) > 0
 	}
 	return found, nil
 }
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -224,25 +224,11 @@
 // readAll reads all keys. The pages may show different revisions, so the state gets
 // the revision of the first page and the next watch reports the changes since then.
 func (f *Follower) readAll(ctx context.Context, sent time.Duration) error {
-	var items []platform.Item
-	var position elmsnapshot.Position
-	for after, more := "", true; more; {
-		page, err := f.store.Range(ctx, "", after)
-		if err != nil {
-			return err
-		}
-		if position == (elmsnapshot.Position{}) {
-			position = elmsnapshot.Position{Era: page.Era, Revision: page.Revision}
-		}
-		if page.Era != position.Era {
-			return platform.ErrEra
-		}
-		items = append(items, page.Items...)
-		more = page.More && len(page.Items) > 0
-		if more {
-			after = page.Items[len(page.Items)-1].Key
-		}
+	page, err := f.store.RangeAll(ctx, "")
+	if err != nil {
+		return err
 	}
+	items, position := page.Items, elmsnapshot.Position{Era: page.Era, Revision: page.Revision}
 	if !f.Snapshot().HasConfig() && position.Era > firstEra {
 		items = slices.Concat(f.peerConfigs(ctx), items)
 	}
