--- a/internal/forward/elmpeers/endless_test.go
+++ b/internal/forward/elmpeers/endless_test.go
@@ -21,7 +21,7 @@
 	}
 	for name, answer := range elmendless.Named(elmendless.Answers(), protobuf) {
 		t.Run(name, func(t *testing.T) {
-			address, err := elmendless.Serve(t.Context(), answer)
+			address, err := elmendless.Serve(t.Context(), "127.0.0.1:0", answer)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/stand/elmendless/elmendless.go
+++ b/internal/stand/elmendless/elmendless.go
@@ -1,16 +1,15 @@
-// Package elmendless stands in for a faulty HTTP server that answers each request with
-// bytes without end, and measures what a caller allocates meanwhile.
+// Package elmendless stands in for a faulty HTTP server that answers each request with bytes
+// without end, and measures what a caller allocates meanwhile.
 //
 // # Usage
 //
 //	for name, answer := range elmendless.Answers() {
-//		address, err := elmendless.Serve(ctx, answer)
+//		address, err := elmendless.Serve(ctx, "127.0.0.1:0", answer)
 //		allocated := elmendless.Allocated(func() { _ = call(address) })
 //	}
 package elmendless
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -26,7 +25,7 @@
 // blockBytes is the size of the blocks that are written.
 const blockBytes = 32 << 10
 
-// Answer is an answer without end.
+// Answer is an answer without end. It is an http.Handler.
 type Answer struct {
 	// First is written once, and Repeated after it until the caller closes.
 	First, Repeated string
@@ -75,44 +74,30 @@
 	return all
 }
 
-// Serve answers each request until the context ends, and returns the address.
-func Serve(ctx context.Context, answer Answer) (string, error) {
-	return ServeAt(ctx, "127.0.0.1:0", answer)
+// ServeHTTP answers a request until the caller closes.
+func (a Answer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close() //nolint:errcheck // The caller has closed it.
+	block := bytes.Repeat([]byte(a.Repeated), blockBytes/len(a.Repeated))
+	for _, err = conn.Write([]byte(a.First)); err == nil; {
+		_, err = conn.Write(block)
+	}
 }
 
-// ServeAt is Serve at an address.
-func ServeAt(ctx context.Context, address string, answer Answer) (string, error) {
+// Serve serves a handler at an address until the context ends. It returns the address.
+func Serve(ctx context.Context, address string, handler http.Handler) (string, error) {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
 	if err != nil {
 		return "", fmt.Errorf("endless answers: %w", err)
 	}
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
-	first, block := []byte(answer.First), bytes.Repeat([]byte(answer.Repeated), blockBytes/len(answer.Repeated))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(ctx, conn, first, block)
-		}
-	}()
+	go func() { _ = http.Serve(listener, handler) }() // The end of the context ends it.
 	return listener.Addr().String(), nil
 }
 
-// serve answers the first request of a connection until the caller closes.
-func serve(ctx context.Context, conn net.Conn, first, block []byte) {
-	defer conn.Close() //nolint:errcheck // The connection is no longer needed.
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-		return
-	}
-	for _, err := conn.Write(first); err == nil; {
-		_, err = conn.Write(block)
-	}
-}
-
 // Allocated returns the number of bytes that the process allocates while a function runs,
 // which is at least what it holds at any time meanwhile.
 func Allocated(run func()) uint64 {
