Limit the maps that an agent takes from its callers

What callers see: an agent of 152 MB ends, and leaves a group held, because a caller, or what has a planner's address, orders a map of many elements.

Cause: an order had 4 MiB of text, whose empty lists of 3 bytes take 24 in memory and more while slices grow. A message of 20 bytes that names an initial map had limits for its ranks, sets and experts, and none for their product.

Evidence: the test failed before (bytes allocated during one call):

TestOrdersOfManyElements/initial_map_of_a_short_message: 875 MB allocated, limit is 19 MB TestOrdersOfManyElements/empty_sets: 232 MB allocated, limit is 19 MB TestOrdersOfManyElements/empty_lists: 232 MB allocated, limit is 19 MB TestOrdersOfManyElements/experts: 107 MB allocated, limit is 19 MB

Fix: an initial map has at most 262,144 lists and experts together, 15 times that of 61 sets of 256 experts on 32 ranks. An order has 2 MiB instead of 4, six bytes for each of them. A larger map is still forwarded, and its map isn't kept.

--- /dev/null
+++ b/internal/expert/elmrankagent/endless_test.go
@@ -0,0 +1,59 @@
+package elmrankagent
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/elmcove/elmcove/internal/expert/elmgroup"
+	"github.com/elmcove/elmcove/internal/stand/elmendless"
+	"github.com/elmcove/elmcove/internal/wire/elmpeer"
+	"github.com/elmcove/elmcove/platform"
+)
+
+// callLimit is the memory for each of four calls to an agent with 152 MB, of which they have
+// half.
+const callLimit = 152 << 20 / 2 / 4
+
+// Guards against an agent that runs out of memory because an order takes many times its size.
+func TestOrdersOfManyElements(t *testing.T) {
+	rank := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	defer rank.Close()
+	prepare, err := proto.Marshal(&elmpeer.Prepare{Version: 9, Epoch: 2, Ranks: 1 << 12, Sets: 1 << 12, Experts: 1 << 12})
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := func(first, repeated, last string) []byte {
+		first = `{"operation":"prepare","version":7,"epoch":2,"map":` + first
+		return []byte(first + strings.Repeat(repeated, (maxOrderBytes-len(first)-len(last))/len(repeated)) + last)
+	}
+	for name, c := range map[string]struct {
+		path string
+		body []byte
+	}{
+		"initial map of a short message": {elmgroup.PreparePath, prepare},
+		"empty sets":                     {platform.OrderPath, order("[[]", ",[]", "]}")},
+		"empty lists":                    {platform.OrderPath, order("[[[]", ",[]", "]]}")},
+		"experts":                        {platform.OrderPath, order("[[[1", ",1", "]]]}")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := &Agent{settings: platform.Settings{EndpointAddress: strings.TrimPrefix(rank.URL, "http://")}, orders: platform.NewRankClient(5 * time.Second)}
+			handler := a.handler()
+			allocated := elmendless.Allocated(func() {
+				handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, c.path, bytes.NewReader(c.body)))
+			})
+			if allocated > callLimit {
+				t.Errorf("%d MB allocated, limit is %d MB", allocated>>20, callLimit>>20)
+			}
+		})
+	}
+}
--- a/internal/expert/elmrankagent/handler.go
+++ b/internal/expert/elmrankagent/handler.go
@@ -18,11 +18,11 @@
 )
 
 // maxOrderBytes bounds an order. The largest order has the map of the largest group.
-const maxOrderBytes = 4 << 20
+const maxOrderBytes = 2 << 20
 
-// maxPrepareBytes bounds a message that names a map, and maxMapSide the number of ranks,
-// sets and experts of an initial map.
-const maxPrepareBytes, maxMapSide = 1 << 10, 1 << 12
+// maxPrepareBytes bounds a message that names a map, maxMapSide the number of ranks, sets and
+// experts of an initial map, and maxMapSize the lists and experts in all sets.
+const maxPrepareBytes, maxMapSide, maxMapSize = 1 << 10, 1 << 12, 1 << 18
 
 // minCompressedBytes is the size above which answers are compressed, because agents
 // have slow links and a planner polls all of them.
@@ -54,7 +54,8 @@
 		return
 	}
 	layout, ok := a.maps.Find(p.GetEpoch(), p.GetSource())
-	if p.GetSource() == 0 && max(p.GetRanks(), p.GetSets(), p.GetExperts()) <= maxMapSide {
+	if p.GetSource() == 0 && max(p.GetRanks(), p.GetSets(), p.GetExperts()) <= maxMapSide &&
+		p.GetSets()*(p.GetRanks()+p.GetExperts()) <= maxMapSize {
 		layout, ok = elmrank.InitialMap(int(p.GetSets()), int(p.GetExperts()), int(p.GetRanks())), p.GetRanks() > 0
 	}
 	if !ok {
