Limit the sums that an agent collects

What callers see: an agent of 152 MB ends because other agents report long selections, each of a group of its own.

Cause: the agent decoded each list and kept one for each group, of up to 524,288 numbers of 8 bytes.

Evidence: the test failed before:

TestCollectionOfManyGroups: 187 MB allocated, limit is 19 MB; 32 reports

Fix: selections are added to the sums of their group without a list of their own, and all sums of a collection have at most 131,072 numbers. The reports are still collected. TestCollection holds before and after.

--- a/internal/expert/elmlevels/elmlevels.go
+++ b/internal/expert/elmlevels/elmlevels.go
@@ -42,13 +42,21 @@
 	if len(l.Packed) == 0 {
 		return nil
 	}
-	counts := make([]float64, min(n, 2*len(l.Packed)))
-	for i := range counts {
+	counts := make([]float64, l.Len(n))
+	l.AddTo(counts)
+	return counts
+}
+
+// Len returns the number of counts in a list of up to n.
+func (l Levels) Len(n int) int { return min(n, 2*len(l.Packed)) }
+
+// AddTo adds the counts to sums, which has at most as many.
+func (l Levels) AddTo(sums []float64) {
+	for i := range sums {
 		level := l.Packed[i/2] >> 4
 		if i%2 == 1 {
 			level = l.Packed[i/2] & maxLevel
 		}
-		counts[i] = float64(level) * l.Unit
+		sums[i] += float64(level) * l.Unit
 	}
-	return counts
 }
--- a/internal/expert/elmrankagent/endless_test.go
+++ b/internal/expert/elmrankagent/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -57,3 +58,25 @@
 		})
 	}
 }
+
+// Guards against an agent that runs out of memory because other agents report long
+// selections of many groups.
+func TestCollectionOfManyGroups(t *testing.T) {
+	var c collection
+	levels := make([]byte, 250<<10)
+	levels[0] = 1
+	states := make([]*elmpeer.RankState, elmgroup.MaxCollected)
+	for i := range states {
+		report := fmt.Sprintf(`{"group":{"name":"g%d","epoch":1,"state":"open"}}`, i)
+		states[i] = &elmpeer.RankState{Report: []byte(report), Selections: &elmpeer.Selections{Levels: levels, Unit: 1, Count: 1 << 30}}
+	}
+	allocated := elmendless.Allocated(func() {
+		for i, s := range states {
+			c.add(fmt.Sprint("rank-", i), s)
+		}
+		c.states()
+	})
+	if allocated > callLimit || len(c.reports) != len(states) {
+		t.Errorf("%d MB allocated, limit is %d MB; %d reports", allocated>>20, callLimit>>20, len(c.reports))
+	}
+}
--- a/internal/expert/elmrankagent/state.go
+++ b/internal/expert/elmrankagent/state.go
@@ -27,6 +27,8 @@
 	collectCalls = 8
 	// maxPlanners is the number of planners whose baselines are kept.
 	maxPlanners = 4
+	// maxSums limits the sums over the ranks of all groups of a collection.
+	maxSums = 1 << 17
 )
 
 // baselines holds the selections of the agent's rank as of the last answer to each
@@ -146,27 +148,29 @@
 		return
 	}
 	levels := elmlevels.Levels{Packed: state.GetSelections().GetLevels(), Unit: state.GetSelections().GetUnit()}
-	counts := levels.Decode(int(state.GetSelections().GetCount()))
+	n := levels.Len(int(state.GetSelections().GetCount()))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.reports = append(c.reports, &elmpeer.RankReport{Address: rank, Report: state.GetReport()})
-	if len(counts) > 0 {
-		c.addSelections(report, counts)
+	if n > 0 {
+		levels.AddTo(c.sumsOf(report, n))
 	}
 }
 
-// addSelections adds the selections of a rank to those of its group.
-func (c *collection) addSelections(report elmrank.Report, counts []float64) {
-	i := slices.IndexFunc(c.groups, func(g groupSums) bool {
-		return g.group == report.Group && g.epoch == report.Epoch && len(g.sums) == len(counts)
-	})
-	if i < 0 {
-		c.groups = append(c.groups, groupSums{report.Group, report.Epoch, counts})
-		return
+// sumsOf returns the n sums over the ranks of a group, or none if there is no room for them.
+func (c *collection) sumsOf(report elmrank.Report, n int) []float64 {
+	total := n
+	for _, g := range c.groups {
+		if g.group == report.Group && g.epoch == report.Epoch && len(g.sums) == n {
+			return g.sums
+		}
+		total += len(g.sums)
 	}
-	for j, n := range counts {
-		c.groups[i].sums[j] += n
+	if total > maxSums {
+		return nil
 	}
+	c.groups = append(c.groups, groupSums{report.Group, report.Epoch, make([]float64, n)})
+	return c.groups[len(c.groups)-1].sums
 }
 
 // states returns what was collected.
