Limit the heads, the time and the number of an agent's callers

What callers see: an agent of 152 MB ends, and leaves a group held, because callers, or what has the address of a planner, send heads without end, or orders that never end or whose answers they don't read.

Cause: the agent's server had net/http's limit for heads, 1 MiB of text, and no limit for the time after the head. Any number of orders, of up to 2 MiB each, was read at a time, and each could stay unfinished for ever.

Evidence: the tests failed before (the first one with limitCalls as a function that only passes on its handler):

TestCallsTakeTurns: 6 calls at a time, 1s TestEndlessHeads: 693 MB allocated, limit is 76 MB

Fix: a head has at most 16 KiB, a request 5 s and an answer 10 s. Two orders of each kind and four collections, one for each planner whose baselines are kept, are served at a time; others wait. Reports and states, which are short, don't wait.

--- a/internal/expert/elmrankagent/elmrankagent.go
+++ b/internal/expert/elmrankagent/elmrankagent.go
@@ -39,8 +39,13 @@
 	// orderTimeout bounds an order to the agent's rank, for which the group may be
 	// waiting.
 	orderTimeout = 60 * time.Millisecond
-	// serverTimeout bounds the time in which a caller sends its headers.
+	// serverTimeout bounds the time in which a caller sends its request, and answerTimeout
+	// that until it has read the answer.
 	serverTimeout = 5 * time.Second
+	answerTimeout = 10 * time.Second
+	idleTimeout   = time.Minute
+	// maxHeadBytes limits the head of a request, which may name MaxCollected ranks.
+	maxHeadBytes = 16 << 10
 	// pollInterval is the time between two polls of the agent's rank.
 	pollInterval = 125 * time.Millisecond
 	// stallTimeout is the time without a pass after which a group with requests
@@ -94,7 +99,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrAgent, err)
 	}
-	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: serverTimeout, ErrorLog: a.logger.Standard()}
+	server := a.server(a.handler())
+	server.ErrorLog = a.logger.Standard()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	a.logger.Event(elmlog.Started, "beside", a.settings.EndpointAddress, "service", a.settings.Service)
@@ -110,6 +116,13 @@
 	return nil
 }
 
+// server returns the server for planners and other agents.
+func (a *Agent) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadTimeout: serverTimeout, WriteTimeout: answerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
+}
+
 // watch polls the agent's rank, which is free of cost for a local caller. If the group
 // has requests but runs no passes, a planner may have crashed while it held the group.
 func (a *Agent) watch(ctx context.Context) {
--- a/internal/expert/elmrankagent/endless_test.go
+++ b/internal/expert/elmrankagent/endless_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -80,3 +83,66 @@
 		t.Errorf("%d MB allocated, limit is %d MB; %d reports", allocated>>20, callLimit>>20, len(c.reports))
 	}
 }
+
+// Guards against an agent that runs out of memory because many callers send orders at a time.
+func TestCallsTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mutex sync.Mutex
+		served, most := 0, 0
+		handler := limitCalls(2, func(http.ResponseWriter, *http.Request) {
+			mutex.Lock()
+			served++
+			most = max(most, served)
+			mutex.Unlock()
+			<-time.After(time.Second)
+			mutex.Lock()
+			served--
+			mutex.Unlock()
+		})
+		var wait sync.WaitGroup
+		for range 6 {
+			wait.Go(func() {
+				handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", http.NoBody))
+			})
+		}
+		began := time.Now()
+		wait.Wait()
+		if most != 2 || time.Since(began) != 3*time.Second {
+			t.Errorf("%d calls at a time, %v", most, time.Since(began))
+		}
+	})
+}
+
+// Guards against an agent that runs out of memory because callers send heads without end.
+// Half of its 152 MB are for 32 callers.
+func TestEndlessHeads(t *testing.T) {
+	const callers, limit = 32, 152 << 20 / 2
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := new(Agent).server(http.NotFoundHandler())
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close() //nolint:errcheck // The test is over.
+	lines := bytes.Repeat([]byte("A:\r\n"), 8<<10)
+	allocated := elmendless.Allocated(func() {
+		var wait sync.WaitGroup
+		for range callers {
+			wait.Go(func() {
+				conn, err := net.Dial("tcp4", listener.Addr().String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close() //nolint:errcheck // Only the allocations count.
+				for _, err = io.WriteString(conn, "GET / HTTP/1.1\r\n"); err == nil; {
+					_, err = conn.Write(lines)
+				}
+			})
+		}
+		wait.Wait()
+	})
+	if allocated > limit {
+		t.Errorf("%d MB allocated, limit is %d MB", allocated>>20, limit>>20)
+	}
+}
--- a/internal/expert/elmrankagent/handler.go
+++ b/internal/expert/elmrankagent/handler.go
@@ -24,6 +24,10 @@
 // experts of an initial map, and maxMapSize the lists and experts in all sets.
 const maxPrepareBytes, maxMapSide, maxMapSize = 1 << 10, 1 << 12, 1 << 18
 
+// maxMapCalls limits the orders of each kind that are served at a time. An order may have a
+// map, which takes several times its size in memory.
+const maxMapCalls = 2
+
 // minCompressedBytes is the size above which answers are compressed, because agents
 // have slow links and a planner polls all of them.
 const minCompressedBytes = 1 << 10
@@ -34,14 +38,28 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+platform.ReportPath, http.HandlerFunc(a.forward))
 	mux.Handle("GET "+platform.ExpertsPath, http.HandlerFunc(a.forward))
-	mux.Handle("POST "+platform.OrderPath, http.HandlerFunc(a.forward))
-	mux.Handle("POST "+elmgroup.PreparePath, http.HandlerFunc(a.prepareKnown))
+	mux.Handle("POST "+platform.OrderPath, limitCalls(maxMapCalls, a.forward))
+	mux.Handle("POST "+elmgroup.PreparePath, limitCalls(maxMapCalls, a.prepareKnown))
 	mux.Handle("GET "+elmgroup.StatePath, http.HandlerFunc(a.serveState))
-	mux.Handle("GET "+elmgroup.CollectPath, http.HandlerFunc(a.serveStates))
+	mux.Handle("GET "+elmgroup.CollectPath, limitCalls(maxPlanners, a.serveStates))
 	mux.Handle("/metrics", a.meter.Handler())
 	return mux
 }
 
+// limitCalls returns a handler that serves at most n requests at a time. Others wait.
+func limitCalls(n int, next http.HandlerFunc) http.Handler {
+	slots := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+		case <-r.Context().Done():
+			return
+		}
+		defer func() { <-slots }()
+		next(w, r)
+	})
+}
+
 // prepareKnown has the rank prepare a map that it has had before.
 func (a *Agent) prepareKnown(w http.ResponseWriter, r *http.Request) {
 	document, err := elmbounded.ReadAll(r.Body, maxPrepareBytes)
