--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -39,8 +39,11 @@
 	SnapshotPath = "/peer/snapshot"
 	// fetchTimeout bounds one snapshot request.
 	fetchTimeout = 400 * time.Millisecond
-	// maxSnapshotBytes limits the size of a fetched snapshot.
-	maxSnapshotBytes = 16 << 20
+	// maxHeadBytes limits the head of a response, and maxSnapshotBytes its body.
+	maxHeadBytes     = 64 << 10
+	maxSnapshotBytes = 8 << 20
+	// maxSnapshotFields limits the items and keys of a snapshot together.
+	maxSnapshotFields = 1 << 16
 	// maxDatagramBytes limits the size of a received datagram.
 	maxDatagramBytes = 60 << 10
 	// fetchFanOut is the number of peers that snapshots are requested from at once.
@@ -65,8 +68,10 @@
 // requested from the seeds while no other entry is known.
 func New(address string, seeds []string) *Peers {
 	return &Peers{address: address, seeds: seeds, client: &http.Client{
-		Timeout:   fetchTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true},
+		Timeout: fetchTimeout,
+		Transport: elmbounded.NewTransport(&http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+		}, maxHeadBytes, maxSnapshotBytes),
 	}}
 }
 
@@ -190,7 +195,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrPeers, err)
 	}
 	s := &elmpeer.Snapshot{}
-	if err := proto.Unmarshal(body, s); err != nil {
+	if err := elmbounded.Unmarshal(body, s, maxSnapshotFields); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrPeers, err)
 	}
 	return s, nil
