Reserve the loopback addresses of runs and fixtures

elmloopback reserves a /24 by a socket that listens at its first address. The run holds it for its whole life, and so does each process that inherits it, so that the orphans of a killed run can't meet the next one.

--- a/internal/forward/elmrouter/fixture_test.go
+++ b/internal/forward/elmrouter/fixture_test.go
@@ -12,12 +12,12 @@
 	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/elmcove/elmcove/internal/forward/elmrouter"
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
+	"github.com/elmcove/elmcove/internal/stand/elmloopback"
 	"github.com/elmcove/elmcove/platform"
 	"github.com/elmcove/elmcove/platform/stand"
 )
@@ -82,9 +82,6 @@
 	return document
 }
 
-// fixtures counts the fixtures of this process.
-var fixtures atomic.Uint32
-
 // Ports of a fixture, outside the range from which the kernel takes ephemeral ports.
 const (
 	callerPort = 21000 + iota
@@ -92,13 +89,6 @@
 	peerPort
 )
 
-// loopback returns an IP address that only one fixture uses, so that its ports are
-// free.
-func loopback() string {
-	process := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 100+process/250%100, 1+process%250, 1+fixtures.Add(1)%250)
-}
-
 // newFixture starts a router with n endpoints and waits until it is ready.
 func newFixture(t *testing.T, n int, change func(*platform.Settings)) *fixture {
 	t.Helper()
@@ -125,9 +115,14 @@
 	return f
 }
 
-// setAddress gives the entry a loopback address of its own.
+// setAddress gives the entry a loopback address that no other gets while the tests run, since
+// listeners may close after the end of their router's run.
 func (f *fixture) setAddress() {
-	f.settings.IP = loopback()
+	network, err := elmloopback.Reserve(f.t.Context(), uint64(os.Getpid()))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.settings.IP = network.IP(2)
 	f.settings.Callers = fmt.Sprintf("%s:%d", f.settings.IP, callerPort)
 	f.settings.Readiness = fmt.Sprintf("%s:%d", f.settings.IP, readinessPort)
 }
--- a/internal/stand/elmlocal/elmlocal.go
+++ b/internal/stand/elmlocal/elmlocal.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/elmcove/elmcove/internal/config/elmsettings"
+	"github.com/elmcove/elmcove/internal/stand/elmloopback"
 	"github.com/elmcove/elmcove/internal/stand/elmudprelay"
 	"github.com/elmcove/elmcove/internal/wire/elmkeys"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
@@ -47,6 +48,7 @@
 // Site is a running local site. Its methods find processes by instance name.
 type Site struct {
 	plan        Plan
+	network     *elmloopback.Network
 	host        string
 	issuedPorts int
 	relays      map[string]*elmudprelay.Relay
@@ -66,9 +68,14 @@
 
 // Start starts all processes of a plan. If one fails to start, it stops the rest.
 func Start(ctx context.Context, plan Plan) (*Site, error) {
+	network, err := elmloopback.Reserve(ctx, uint64(os.Getpid()))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrLocal, err)
+	}
 	s := &Site{
 		plan:      plan,
-		host:      loopback(os.Getpid(), siteCount.Add(1)),
+		network:   network,
+		host:      network.IP(hostNumber),
 		relays:    map[string]*elmudprelay.Relay{},
 		keys:      filepath.Join(plan.Folder, "keys"),
 		processes: map[string]*exec.Cmd{},
@@ -76,6 +83,7 @@
 		Entries:   map[string]string{},
 	}
 	if err := elmkeys.Generate(s.keys); err != nil {
+		s.Stop()
 		return nil, err
 	}
 	if err := s.startAll(ctx); err != nil {
@@ -97,9 +105,10 @@
 // EntryURL returns the base URL of an entry.
 func (s *Site) EntryURL(name string) string { return "http://" + s.Entries[name] }
 
-// Stop terminates all processes, and kills those that still run after
-// stopTimeout.
+// Stop terminates all processes, kills those that still run after stopTimeout, and
+// releases the site's addresses.
 func (s *Site) Stop() {
+	defer s.network.Release()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, p := range s.processes {
--- a/internal/stand/elmlocal/ports.go
+++ b/internal/stand/elmlocal/ports.go
@@ -1,19 +1,9 @@
 package elmlocal
 
-import (
-	"fmt"
-	"sync/atomic"
-)
+import "fmt"
 
-// siteCount counts the sites that this process has started.
-var siteCount atomic.Uint32
-
-// loopback returns a loopback address that only the processes of one site
-// listen on.
-func loopback(process int, site uint32) string {
-	const values = 250 // per octet
-	return fmt.Sprintf("127.%d.%d.%d", 1+process/values%values, 1+process%values, 1+site%values)
-}
+// hostNumber is the host of a site in its network.
+const hostNumber = 2
 
 // firstPort is the first port of a site. All ports of a site lie below the range from
 // which the kernel takes ephemeral ports, so that no dialer gets one of them.
--- a/internal/stand/elmlocal/processes.go
+++ b/internal/stand/elmlocal/processes.go
@@ -108,6 +108,7 @@
 	c := exec.Command(filepath.Join(s.plan.Bin, program), arguments...)
 	c.Stdout = logFile
 	c.Stderr = logFile
+	s.network.Hold(c)
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("%w: start %s: %w", ErrLocal, name, err)
 	}
