Log what libraries report as bounded events

A faulty endpoint, agent, entry or store could fill the log of a process that calls it, and block it where its log is read slowly: net/http writes a line to the standard error for each kept connection on which bytes come that belong to no response, with up to 4 KiB of them, past the log's sink and its limits. Lines of servers went through the sink, without a limit.

Both are now events (1010), with the first 256 bytes and the limit of other events.

--- a/internal/command/elmcommand/onplatform.go
+++ b/internal/command/elmcommand/onplatform.go
@@ -126,6 +126,7 @@
 	}
 	sink := elmsink.New(os.Stdout)
 	logger := elmlog.NewJSON(settings.Instance, sink)
+	logger.CaptureStandard()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wait sync.WaitGroup
 	reportDropped := func(n int64) { logger.Event(elmlog.LinesDropped, "lines", n) }
--- a/internal/command/elmcommand/processes.go
+++ b/internal/command/elmcommand/processes.go
@@ -81,6 +81,7 @@
 		return err
 	}
 	logger := elmlog.New(settings.Instance, settings.Log, os.Stderr)
+	logger.CaptureStandard()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go watchSettings(background, signals, path, func() error {
--- a/internal/observe/elmlog/elmlog.go
+++ b/internal/observe/elmlog/elmlog.go
@@ -10,6 +10,7 @@
 import (
 	"io"
 	"log"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -41,9 +42,28 @@
 	}
 }
 
-// Standard returns a standard library logger that writes to l at level warn.
-func (l *Logger) Standard() *log.Logger {
-	return l.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn})
+// maxReportBytes limits what is logged of a library's report, which may quote a peer.
+const maxReportBytes = 256
+
+// Standard returns a standard library logger whose lines are events.
+func (l *Logger) Standard() *log.Logger { return log.New(reports{l}, "", 0) }
+
+// CaptureStandard makes the process's standard library logger write events, as Standard does.
+// Otherwise libraries write lines of any length to the standard error, and wait for its reader.
+func (l *Logger) CaptureStandard() {
+	log.SetFlags(0)
+	log.SetOutput(reports{l})
+}
+
+// reports writes the lines of libraries as events.
+type reports struct {
+	logger *Logger
+}
+
+// Write implements io.Writer.
+func (r reports) Write(line []byte) (int, error) {
+	r.logger.Event(LibraryReported, "text", strings.TrimSpace(string(line[:min(len(line), maxReportBytes)])))
+	return len(line), nil
 }
 
 // Discard returns a Logger that writes nothing.
--- a/internal/observe/elmlog/elmlog_test.go
+++ b/internal/observe/elmlog/elmlog_test.go
@@ -58,3 +58,18 @@
 		t.Errorf("got %s", out.String())
 	}
 }
+
+// Guards against a faulty peer that fills the log, and blocks the process whose log is not read:
+// net/http quotes bytes that belong to no response.
+func TestReportsOfLibrariesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		standard := elmlog.NewJSON("entry-1", &out).Standard()
+		for range 1000 {
+			standard.Print("unsolicited response: " + strings.Repeat("x", 64<<10))
+		}
+		if lines := strings.Count(out.String(), `"event":1010`); lines != 200 || out.Len() > 200*1000 {
+			t.Errorf("%d lines, %d bytes", lines, out.Len())
+		}
+	})
+}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -23,6 +23,7 @@
 	LinesDropped        Event = 1007
 	ReadinessChanged    Event = 1008
 	PanicRecovered      Event = 1009
+	LibraryReported     Event = 1010
 	ConfigAdopted       Event = 1101
 	ConfigRefused       Event = 1102
 	StoreDown           Event = 1201
@@ -104,6 +105,7 @@
 	Stopping:            {hclog.Info, "process is draining", adviceNone + " New work goes to other instances."},
 	Stopped:             {hclog.Info, "process stopped", adviceNone},
 	PanicRecovered:      {hclog.Error, "unexpected panic, the process goes on", "Report the stack. The work that is named was not done."},
+	LibraryReported:     {hclog.Warn, "a library reported", "Read the text. Bytes that belong to no response come from a faulty endpoint, peer or store."},
 	Failed:              {hclog.Error, "process failed", "Read the error. The platform should replace the instance."},
 	ConfigAdopted:       {hclog.Info, "configuration revision in force", adviceNone},
 	ConfigRefused:       {hclog.Error, "configuration revision rejected", "The process keeps its last valid revision. Apply a valid one."},
