Serialize the pages that TestEndlessPages counts

A call of the store that has timed out may overlap the next one, and both count pages: the race detector showed it once beside a load average of 60. The check is unchanged.

--- a/internal/forward/elmfollower/endless_test.go
+++ b/internal/forward/elmfollower/endless_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/elmcove/elmcove/internal/forward/elmfollower"
@@ -25,9 +26,12 @@
 		"lower keys": func(page int) string { return fmt.Sprintf("key-%09d", 1000-page) },
 	} {
 		t.Run(name, func(t *testing.T) {
+			var mutex sync.Mutex // A call that has timed out may overlap the next one.
 			pages := 0
 			ended := make(chan int, 1)
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mutex.Lock()
+				defer mutex.Unlock()
 				if pages > 0 && (r.URL.Query().Get("after") == "" || pages > limit) {
 					select {
 					case ended <- pages:
