Look at each byte of an event once

What callers would see: an agent or an entry that is busy and answers late, beside an endpoint that sends an event without end in small parts. With each part, the splitter copied the incomplete event and searched it from its start.

Before the fix the new test failed (and took 12 s):

--- FAIL: TestEventInSmallParts (11.91s) elmevents_test.go:121: 16465 allocations

--- a/internal/wire/elmevents/elmevents.go
+++ b/internal/wire/elmevents/elmevents.go
@@ -47,6 +47,7 @@
 // Splitter buffers bytes until an event is complete. The zero value is ready to use.
 type Splitter struct {
 	pending []byte
+	scanner scanner
 	last    string
 	err     error
 }
@@ -55,14 +56,17 @@
 func (s *Splitter) Split(part []byte) []byte {
 	s.pending = append(s.pending, part...)
 	complete := 0
-	for end := eventEnd(s.pending); end > 0; end = eventEnd(s.pending[complete:]) {
+	for end := s.scanner.eventEnd(s.pending); end > 0; end = s.scanner.eventEnd(s.pending[complete:]) {
 		if !isEvent(s.pending[complete : complete+end]) {
 			s.err = ErrMalformed
 			break
 		}
 		complete += end
 	}
-	events := s.pending[:complete]
+	if complete == 0 {
+		return nil
+	}
+	events := s.pending[:complete:complete]
 	s.pending = bytes.Clone(s.pending[complete:])
 	return events
 }
@@ -85,7 +89,7 @@
 // inside an event. However the response is framed, such a stream is incomplete.
 func (s *Splitter) End() ([]byte, error) {
 	for rest := s.pending; len(rest) > 0; {
-		_, length := firstLine(rest)
+		length := lineLength(rest)
 		if length == 0 || rest[0] != ':' {
 			return nil, ErrTruncated
 		}
@@ -111,7 +115,7 @@
 
 // DropPending drops the incomplete event, so that the stream of another endpoint can
 // follow.
-func (s *Splitter) DropPending() { s.pending, s.err = nil, nil }
+func (s *Splitter) DropPending() { s.pending, s.scanner, s.err = nil, scanner{}, nil }
 
 // advance stores an identifier as the last one, unless both are numbers and it is not
 // above the last one. It reports whether the identifier was stored.
@@ -127,16 +131,36 @@
 
 // eventEnd returns the length of the first event including its blank line, or 0 if no
 // event is complete.
-func eventEnd(stream []byte) int {
-	for end := 0; end < len(stream); {
-		content, length := firstLine(stream[end:])
-		if length == 0 {
+func eventEnd(stream []byte) int { return new(scanner).eventEnd(stream) }
+
+// scanner finds the end of the first event of a stream that grows. It looks at each byte
+// once, in however many parts the stream arrives.
+type scanner struct {
+	// line is the start of the first line that is not complete, and searched is how far it
+	// has no line ending.
+	line, searched int
+}
+
+// eventEnd is like the function, for a stream that has grown since the last call that
+// returned 0.
+func (s *scanner) eventEnd(stream []byte) int {
+	for s.line < len(stream) {
+		s.searched = max(s.searched, s.line)
+		found := bytes.IndexAny(stream[s.searched:], "\r\n")
+		if found < 0 {
+			s.searched = len(stream)
 			return 0
 		}
-		end += length
-		if content == 0 {
+		s.searched += found
+		end := s.searched + lineLength(stream[s.searched:])
+		if s.searched == s.line {
+			*s = scanner{}
 			return end
 		}
+		if end == len(stream) && stream[end-1] == '\r' {
+			return 0 // An LF may follow.
+		}
+		s.line = end
 	}
 	return 0
 }
@@ -164,17 +188,17 @@
 	return 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || r == '-' || r == '_'
 }
 
-// firstLine returns the lengths of the first line without and with its line ending,
-// which is CR LF, LF or CR. Both are 0 if no line is complete.
-func firstLine(stream []byte) (content, length int) {
-	content = bytes.IndexAny(stream, "\r\n")
+// lineLength returns the length of the first line with its line ending, which is CR LF, LF
+// or CR, or 0 if no line is complete.
+func lineLength(stream []byte) int {
+	content := bytes.IndexAny(stream, "\r\n")
 	switch {
 	case content < 0:
-		return 0, 0
+		return 0
 	case bytes.HasPrefix(stream[content:], []byte("\r\n")):
-		return content, content + 2
+		return content + 2
 	}
-	return content, content + 1
+	return content + 1
 }
 
 // eventID returns the identifier of an event, and whether it has one.
--- a/internal/wire/elmevents/elmevents_test.go
+++ b/internal/wire/elmevents/elmevents_test.go
@@ -107,3 +107,17 @@
 		t.Errorf("error after %d bytes, %d are allowed", fed, elmevents.MaxEventBytes)
 	}
 }
+
+// Guards against a process that copies an incomplete event once more for each small part of
+// it that arrives.
+func TestEventInSmallParts(t *testing.T) {
+	allocations := testing.AllocsPerRun(1, func() {
+		var s elmevents.Splitter
+		for s.Err() == nil {
+			s.Split([]byte("data: x\n"))
+		}
+	})
+	if allocations > 100 {
+		t.Errorf("%v allocations", allocations)
+	}
+}
