--- a/internal/registry/elmstore/elmstore.go
+++ b/internal/registry/elmstore/elmstore.go
@@ -35,7 +35,7 @@
 	// bodies that are read at the same time.
 	maxHeadBytes = 64 << 10
 	maxBodyBytes = 16 << 20
-	budgetBytes  = 32 << 20
+	budgetBytes  = 8 << 20
 )
 
 // ErrUnavailable reports that the service gave no usable response. A write may
--- a/internal/stand/elmbody/endless.go
+++ b/internal/stand/elmbody/endless.go
@@ -36,6 +36,7 @@
 		"head":           {first: ok, repeated: strings.Repeat("A: b\r\n", block/6)},
 		"interim":        {repeated: strings.Repeat("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", block/34)},
 		"body":           {first: ok + "\r\n", repeated: strings.Repeat("x", block)},
+		"document":       {first: ok + "Content-Type: application/json\r\n\r\n{\"version\":1,\"data\":\"", repeated: strings.Repeat("YWFh", block/4)},
 		"failure":        {first: "HTTP/1.1 503 Busy\r\n\r\n", repeated: strings.Repeat("x", block)},
 		"event":          {first: events, repeated: strings.Repeat("data: x\n", block/8)},
 		"stream":         {first: events, repeated: strings.Repeat("data: x\n\n", block/9)},
--- a/internal/stand/elmlocal/memory_linux_test.go
+++ b/internal/stand/elmlocal/memory_linux_test.go
@@ -55,11 +55,24 @@
 	return kilobytes << 10
 }
 
-// resetPeakMemory makes peakMemory measure from now on.
-func (f *fixture) resetPeakMemory(name string) {
+// resetPeakMemory makes checkPeakMemory measure from now on.
+func (f *fixture) resetPeakMemory() {
 	f.Helper()
-	if err := os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", f.site.ProcessID(name)), []byte("5"), 0); err != nil {
-		f.Fatal(err)
+	for _, name := range []string{"dispatch-1", "entry-1"} {
+		if err := os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", f.site.ProcessID(name)), []byte("5"), 0); err != nil {
+			f.Fatal(err)
+		}
+	}
+}
+
+// checkPeakMemory checks that an agent and an entry have kept to the memory of their
+// instances.
+func (f *fixture) checkPeakMemory(t *testing.T) {
+	t.Helper()
+	agent, entry := f.peakMemory("dispatch-1"), f.peakMemory("entry-1")
+	t.Logf("peak of the agent %d MB, of the entry %d MB", agent>>20, entry>>20)
+	if agent > agentBytes || entry > entryBytes {
+		t.Error("beyond the memory of an instance")
 	}
 }
 
@@ -87,8 +100,7 @@
 		t.Run(response, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(f.ctx, faultyTime)
 			defer cancel()
-			f.resetPeakMemory("dispatch-1")
-			f.resetPeakMemory("entry-1")
+			f.resetPeakMemory()
 			var calls sync.WaitGroup
 			for range faultyCalls {
 				calls.Go(func() {
@@ -99,11 +111,42 @@
 			}
 			answered := f.orderUntil(ctx)
 			calls.Wait()
-			t.Logf("%d orders answered; peak of the agent %d MB, of the entry %d MB",
-				answered, f.peakMemory("dispatch-1")>>20, f.peakMemory("entry-1")>>20)
-			if f.peakMemory("dispatch-1") > agentBytes || f.peakMemory("entry-1") > entryBytes {
-				t.Error("beyond the memory of an instance")
+			t.Logf("%d orders answered", answered)
+			f.checkPeakMemory(t)
+		})
+	}
+}
+
+// Guards against an agent or entry that runs out of memory, with the requests of others,
+// because the key-value service answers with documents without end.
+func TestStoreWithoutEnd(t *testing.T) {
+	f := startLean(t)
+	key := newKey()
+	if a := f.settle(1, key); a.Status != 200 {
+		t.Fatalf("an order got status %d: %s%v", a.Status, a.Body, a.Err)
+	}
+	f.resetPeakMemory()
+	f.fault("endless")
+	ctx, cancel := context.WithTimeout(f.ctx, 2*faultyTime)
+	defer cancel()
+	var calls sync.WaitGroup
+	for range faultyCalls {
+		calls.Go(func() {
+			for ctx.Err() == nil {
+				_ = f.client.Order(ctx, f.entry(1), newKey()) // Its claim can't be read.
 			}
 		})
 	}
+	for ctx.Err() == nil {
+		if a := f.client.StreamCompletion(f.ctx, f.entry(1), 2); !a.Complete(2) {
+			t.Errorf("a completion got status %d: %s%v", a.Status, a.Body, a.Err)
+			break
+		}
+	}
+	calls.Wait()
+	f.checkPeakMemory(t)
+	f.fault("none")
+	if a := f.settle(1, newKey()); a.Status != 200 {
+		t.Errorf("an order got status %d: %s%v", a.Status, a.Body, a.Err)
+	}
 }
--- a/internal/stand/elmplatform/elmplatform.go
+++ b/internal/stand/elmplatform/elmplatform.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/stand/elmbody"
 	"github.com/elmcove/elmcove/internal/wire/elmkvapi"
 )
 
@@ -35,6 +36,8 @@
 	FaultSlow Fault = "slow"
 	// FaultLostReplies applies writes and then fails them, as if replies were lost.
 	FaultLostReplies Fault = "lost"
+	// FaultEndless answers all calls with a document without end.
+	FaultEndless Fault = "endless"
 )
 
 const slowDelay = 2 * time.Second
@@ -87,7 +90,13 @@
 		panic(err) // NewServer fails only on invalid options.
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", server)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		if p.currentFault() == FaultEndless {
+			elmbody.WriteEndless(w, "document")
+			return
+		}
+		server.ServeHTTP(w, r)
+	})
 	mux.HandleFunc("POST /control/fault", p.handleFault)
 	mux.HandleFunc("PUT /control/instances", p.handleInstances)
 	mux.HandleFunc("GET /control/counts", p.handleCounts)
@@ -230,10 +239,7 @@
 
 // injectFault fails or delays a call before it takes effect.
 func (p *Platform) injectFault(ctx context.Context) error {
-	p.mutex.Lock()
-	fault := p.fault
-	p.mutex.Unlock()
-	switch fault {
+	switch p.currentFault() {
 	case FaultDown:
 		return errFault
 	case FaultSlow:
@@ -246,6 +252,12 @@
 	return nil
 }
 
+func (p *Platform) currentFault() Fault {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.fault
+}
+
 func (p *Platform) count(add func(*Counts)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -319,10 +331,10 @@
 func (p *Platform) handleFault(w http.ResponseWriter, r *http.Request) {
 	fault := Fault(r.URL.Query().Get("kind"))
 	switch fault {
-	case FaultNone, FaultDown, FaultSlow, FaultLostReplies:
+	case FaultNone, FaultDown, FaultSlow, FaultLostReplies, FaultEndless:
 		p.SetFault(fault)
 	default:
-		http.Error(w, "kind must be one of none, down, slow, lost", http.StatusBadRequest)
+		http.Error(w, "kind must be one of none, down, slow, lost, endless", http.StatusBadRequest)
 	}
 }
 
