Cut long values in log lines

What callers would see: a process that runs out of memory, with their requests, while an endpoint sends bytes that are no response. An error of the HTTP client quotes the status line, up to the limit of a head: 60,000 zero bytes make an error of 240,129 bytes (measured). The sink keeps 1,024 lines for a slow reader of the log, which is 245 MB of the 152 MB of an agent, and the lines of failed requests have no rate limit there.

Now a string or error in a line has at most 1 KiB, and its length is told.

--- a/internal/observe/elmlog/elmlog.go
+++ b/internal/observe/elmlog/elmlog.go
@@ -8,6 +8,7 @@
 package elmlog
 
 import (
+	"fmt"
 	"io"
 	"log"
 	"time"
@@ -15,6 +16,9 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+// maxValueBytes limits a value in a line. Errors may quote what a peer has sent.
+const maxValueBytes = 1 << 10
+
 // Logger writes events to one output. It is safe for concurrent use.
 type Logger struct {
 	logger hclog.Logger
@@ -52,7 +56,7 @@
 }
 
 // Event writes an event with alternating keys and values. Durations are rounded
-// to microseconds.
+// to microseconds, and long strings and errors are cut.
 func (l *Logger) Event(e Event, pairs ...any) {
 	entry, ok := catalogue[e]
 	if !ok {
@@ -69,9 +73,27 @@
 		}
 	}
 	for i, value := range line {
-		if d, ok := value.(time.Duration); ok {
-			line[i] = d.Round(time.Microsecond).String()
-		}
+		line[i] = format(value)
 	}
 	l.logger.Log(entry.Level, entry.Text, line...)
 }
+
+// format returns the form in which a value is written.
+func format(value any) any {
+	switch v := value.(type) {
+	case time.Duration:
+		return v.Round(time.Microsecond).String()
+	case string:
+		return cut(v)
+	case error:
+		return cut(v.Error())
+	}
+	return value
+}
+
+func cut(text string) string {
+	if len(text) <= maxValueBytes {
+		return text
+	}
+	return fmt.Sprintf("%s… (%d bytes)", text[:maxValueBytes], len(text))
+}
