Limit the long responses that an entry reads at the same time

What callers see: an entry of 184 MB ends because the store and other entries send long responses at the same time, each within its limit.

Cause: all calls to the store, also those for a revision or a lease, read up to 8 MiB, and several of them run at a time.

Evidence: the flood "long values" is new in the test of processes.

elmendless copied the document of each answer, which counted as allocated.

--- a/internal/command/elmcommand/endless_linux_test.go
+++ b/internal/command/elmcommand/endless_linux_test.go
@@ -19,7 +19,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/elmcove/elmcove/internal/stand/elmendless"
+	"github.com/elmcove/elmcove/internal/wire/elmpeer"
 	"github.com/elmcove/elmcove/platform/stand"
 )
 
@@ -51,6 +54,15 @@
 			rank:         elmendless.Document(`{"counts":[[]`, ",[]", `],"map":{"version":7,"experts":[[]]}}`, 1<<20),
 		},
 	}
+	numbers := strings.Repeat("1,", 1<<18-1) + "1"
+	all["long values"] = flood{
+		soundReports: true,
+		store:        elmendless.Document(`{"items":[{"key":"k","value":"`, "AAAA", `"}]`, 8<<20),
+		peers:        encoded(&elmpeer.Snapshot{Items: []*elmpeer.Item{{Key: "k", Value: make([]byte, 8<<20-64)}}}),
+		agents:       encoded(&elmpeer.RankStates{Groups: []*elmpeer.GroupSelections{{Group: "g", Epoch: 1, Selections: make([]uint32, 1<<20-64)}}}),
+		states:       encoded(&elmpeer.RankState{Report: []byte(soundReport(1)), Selections: &elmpeer.Selections{Levels: make([]byte, 250<<10), Unit: 1, Count: 500 << 10}}),
+		rank:         elmendless.Document(`{"counts":[`+numbers+`],"map":{"version":7,"experts":[[`, numbers, `]]}}`, 1<<20),
+	}
 	answers := elmendless.Answers()
 	for _, name := range []string{"head", "body with length"} {
 		a := answers[name]
@@ -59,6 +71,17 @@
 	return all
 }
 
+// encoded returns an answer with a message.
+func encoded(m proto.Message) elmendless.Answer {
+	document, _ := proto.Marshal(m) // Messages of valid text always encode.
+	return elmendless.Document(string(document), " ", "", len(document))
+}
+
+// soundReport returns the report of a rank of a group that is held.
+func soundReport(rank int) string {
+	return fmt.Sprintf(`{"group":{"name":"g","epoch":1,"rank":%d,"state":"open"},"size":%d,"running":1,"step":25,"map":7,"held":26}`, rank, endlessRanks)
+}
+
 // site is a platform whose processes send without end.
 type site struct {
 	flood
@@ -159,7 +182,7 @@
 func (s *site) rankHandler(i int, a elmendless.Answer) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/elmcove/report" && (s.soundReports || i == 0) {
-			_, _ = fmt.Fprintf(w, `{"group":{"name":"g","epoch":1,"rank":%d,"state":"open"},"size":%d,"running":1,"step":25,"map":7,"held":26}`, i, endlessRanks)
+			_, _ = io.WriteString(w, soundReport(i))
 			return
 		}
 		s.send("ranks", a, w, r)
--- a/internal/forward/elmpeers/elmpeers.go
+++ b/internal/forward/elmpeers/elmpeers.go
@@ -71,7 +71,7 @@
 		Timeout: fetchTimeout,
 		Transport: elmbounded.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
-		}, maxHeadBytes, maxSnapshotBytes),
+		}, maxHeadBytes, maxSnapshotBytes).WithBudget(elmbounded.NewBudget(maxSnapshotBytes)),
 	}}
 }
 
@@ -221,6 +221,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/protobuf")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body) // The client detects an incomplete response.
 	})
 }
--- a/internal/stand/elmendless/elmendless.go
+++ b/internal/stand/elmendless/elmendless.go
@@ -81,8 +81,14 @@
 		return
 	}
 	defer conn.Close() //nolint:errcheck // The caller has closed it.
-	block := bytes.Repeat([]byte(a.Repeated), blockBytes/len(a.Repeated))
-	for _, err = conn.Write([]byte(a.First)); err == nil; {
+	block := make([]byte, blockBytes)
+	for rest := a.First; err == nil && rest != ""; { // A copy of all would count as allocated.
+		n := copy(block, rest)
+		_, err = conn.Write(block[:n])
+		rest = rest[n:]
+	}
+	block = bytes.Repeat([]byte(a.Repeated), blockBytes/len(a.Repeated))
+	for err == nil {
 		_, err = conn.Write(block)
 	}
 }
