Return a response that has arrived when its deadline passes

Where the process was busy or stopped for a moment at the deadline of a request, on the own interface, both the deadline and the response were ready when it went on, and the choice between them is random: half of such callers got 504, or a stream that is cut, in place of the response that was there.

What has arrived is now looked at when the deadline has passed, for up to 16 messages, so that a response without end still ends.

The test failed before:

TestWait/response,_and_deadline_has_passed exchange_test.go:39: got elmrequest.Expired, want elmrequest.Ended

--- a/internal/entry/elmentry/exchange.go
+++ b/internal/entry/elmentry/exchange.go
@@ -21,7 +21,10 @@
 const (
 	requestsMetric = elmmeter.Requests
 	writeTimeout   = 30 * time.Second
-	errorEvent     = "event: error\ndata: {\"error\":{\"message\":\"the answer broke off\",\"type\":\"incomplete\"}}\n\n"
+	// maxLate limits the messages of an attempt that are read after the deadline, so that a
+	// response without end is ended.
+	maxLate    = 16
+	errorEvent = "event: error\ndata: {\"error\":{\"message\":\"the answer broke off\",\"type\":\"incomplete\"}}\n\n"
 )
 
 // call is a request in the form in which it is sent to an endpoint.
@@ -52,6 +55,8 @@
 	head         *elmrequest.Begin
 	headSent     bool
 	disconnected bool
+	// late is the number of messages that were read after the deadline.
+	late int
 }
 
 // serve handles one request until its response is complete.
@@ -128,6 +133,9 @@
 // wait blocks until the agent responds, the caller disconnects or the deadline
 // passes, and returns the corresponding message.
 func (x *exchange) wait() elmrequest.Message {
+	if !time.Now().Before(x.deadline) {
+		return x.expire()
+	}
 	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
 	callerDone := x.ctx.Done()
@@ -142,8 +150,22 @@
 		x.entry.logger.Event(elmlog.CallerDisconnected, "request", x.request.ID())
 		return elmrequest.Left{}
 	case <-timer.C:
-		return elmrequest.Expired{}
 	}
+	return x.expire()
+}
+
+// expire returns a message that has arrived and that a busy process has not read in time, or
+// Expired if there is none.
+func (x *exchange) expire() elmrequest.Message {
+	if x.late < maxLate {
+		select {
+		case message := <-x.messages:
+			x.late++
+			return message
+		default:
+		}
+	}
+	return elmrequest.Expired{}
 }
 
 // perform executes a command and returns the message that results, or nil.
