Answer open requests when the drain of an entry ends

On the own interface a request that is still open two minutes after a drain began (a service may have a longer time limit, and a request whose head was being read begins after it) lost its connection when the process ended, without an answer.

Such requests now expire at the end of the drain: callers get 504 or 409 with the outcome unknown, or an aborted stream, and the process waits up to a second for these answers to be sent.

The test failed before: TestWait/entry_ends did not end.

--- a/internal/entry/elmentry/elmentry.go
+++ b/internal/entry/elmentry/elmentry.go
@@ -46,6 +46,8 @@
 	idleTimeout    = 3 * time.Minute
 	maxHeaderBytes = 32 << 10
 	drainTimeout   = 2 * time.Minute
+	// lastResponseTime is the time after a drain in which open requests get a response.
+	lastResponseTime = time.Second
 )
 
 // ErrEntry reports that the entry can't start, run or drain.
@@ -66,6 +68,8 @@
 	incarnation string
 	serial      atomic.Uint64
 	draining    atomic.Bool
+	// ending is closed when open requests must end.
+	ending chan struct{}
 
 	mutex        sync.Mutex
 	picker       *elmpicker.Picker
@@ -93,6 +97,7 @@
 		picker:       elmpicker.New(settings.Datacentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:       elmbudget.New(),
 		openRequests: map[string]int{},
+		ending:       make(chan struct{}),
 	}
 	for _, option := range options {
 		option(e)
@@ -172,9 +177,14 @@
 	e.logger.Event(elmlog.Stopping)
 	e.draining.Store(true)
 	time.Sleep(time.Duration(e.settings.DrainDelay) * time.Millisecond)
-	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	drain, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	if err := listener.Drain(ctx); err != nil {
+	err := listener.Drain(drain)
+	if err != nil {
+		close(e.ending)
+		last, cancelLast := context.WithTimeout(ctx, lastResponseTime)
+		defer cancelLast()
+		_ = listener.Drain(last) // The error of the first one is reported.
 		return fmt.Errorf("%w: drain: %w", ErrEntry, err)
 	}
 	e.logger.Event(elmlog.Stopped)
--- a/internal/entry/elmentry/exchange.go
+++ b/internal/entry/elmentry/exchange.go
@@ -130,8 +130,8 @@
 	return replies
 }
 
-// wait blocks until the agent responds, the caller disconnects or the deadline
-// passes, and returns the corresponding message.
+// wait blocks until the agent responds, the caller disconnects, the deadline passes or
+// the entry ends, and returns the corresponding message.
 func (x *exchange) wait() elmrequest.Message {
 	if !time.Now().Before(x.deadline) {
 		return x.expire()
@@ -150,6 +150,7 @@
 		x.entry.logger.Event(elmlog.CallerDisconnected, "request", x.request.ID())
 		return elmrequest.Left{}
 	case <-timer.C:
+	case <-x.entry.ending:
 	}
 	return x.expire()
 }
