Do not cancel requests whose bodies end as a router ceases to read

If the body ended in the same moment, net/http was already reading on, to notice that the caller leaves: the deadline failed that read, which cancels the request, and its caller got the end of the connection without an answer.

The end of bodies is now known when a drain begins: the deadline is set to it then, seconds ahead, before the body is read or while it is, and is taken back when the body has ended. Requests that come later have it from the start.

The test sends 100 bodies that end around that moment.

--- a/internal/forward/elmrouter/connection_test.go
+++ b/internal/forward/elmrouter/connection_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -156,6 +158,38 @@
 	}
 }
 
+// Guards against requests that are cancelled, without an answer, because their bodies end in the
+// moment in which a stopping router ceases to read bodies.
+func TestBodiesAtTheirEnd(t *testing.T) {
+	t.Parallel()
+	const (
+		callers    = 100
+		bodiesEnd  = 3400 * time.Millisecond // lastBodyTime and graceMargin before the end of the grace.
+		uploadSize = 300_000
+	)
+	f := newFixture(t, 0, func(s *platform.Settings) { s.Bounds.Grace = 5 * time.Second })
+	f.configure(2, silentConfiguration(2, `"maxConnections":10`, `"maxConnections":1000`))
+	f.addSilent("e0")
+	begin := make(chan struct{})
+	var sending sync.WaitGroup
+	for i := range callers {
+		conn, reader := f.dialCaller()
+		upload := rawUpload(fmt.Sprintf("/once/a?at=before+the+head&for=200ms&n=%d", i), "1000", uploadSize) + strings.Repeat("x", uploadSize)
+		_, _ = io.WriteString(conn, upload[:20])
+		sending.Go(func() {
+			<-begin
+			<-time.After(bodiesEnd + time.Duration(i-callers/2)*time.Millisecond)
+			_, _ = io.WriteString(conn, upload[20:])
+			if outcome, err := readOutcome(reader, "answer"); !slices.Contains([]string{whole, "503", "504"}, outcome) {
+				t.Errorf("request %d: %s, %v", i, outcome, err)
+			}
+		})
+	}
+	f.stop()
+	close(begin)
+	sending.Wait()
+}
+
 // Guards against a change of the configuration that leaves a request without an answer whose
 // body is still coming in. The configuration at the end of its head holds for it.
 func TestChangeWhileABodyIsRead(t *testing.T) {
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -97,10 +97,10 @@
 	// lateAfter is when a draining router starts to refuse requests that it can't finish
 	// before stopsAt. Both are 0 while it is not draining.
 	lateAfter, stopsAt atomic.Int64
-	// bodies ends when bodies of requests are no longer read, before the router stops.
-	bodies    context.Context //nolint:containedctx // It lives as long as the router.
-	endBodies context.CancelFunc
-	ready     atomic.Bool
+	// serving ends when the router starts to drain.
+	serving  context.Context //nolint:containedctx // It lives as long as the router.
+	endServe context.CancelFunc
+	ready    atomic.Bool
 	// informed is set when the notices of a first snapshot have been applied.
 	informed atomic.Bool
 
@@ -190,8 +190,8 @@
 	if err != nil {
 		return err
 	}
-	r.bodies, r.endBodies = context.WithCancel(base)
-	defer r.endBodies()
+	r.serving, r.endServe = context.WithCancel(base)
+	defer r.endServe()
 	failures := make(chan error, 5)
 	requests, endRequests := context.WithCancelCause(base)
 	defer endRequests(nil)
@@ -247,11 +247,11 @@
 	r.stopsAt.Store(int64(now + grace))
 	r.lateAfter.Store(int64(now + shutdownDelay))
 	r.draining.Store(true)
+	r.endServe()
 	r.logger.Event(elmlog.Stopping, "grace", r.settings.Bounds.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	elmclock.Wait(ctx, shutdownDelay)
-	defer time.AfterFunc(time.Duration(r.stopsAt.Load())-lastBodyTime-elmclock.Now(), r.endBodies).Stop()
 	err := callers.Drain(ctx)
 	if err == nil {
 		return
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -27,6 +27,8 @@
 	// refusedBodyTime is the time in which the rest of a refused request's body may come in. It
 	// is shorter than writeMargin, because net/http reads the body before it sends the refusal.
 	refusedBodyTime = 2 * time.Second
+	// minBodyTime is the time that a body has at least to come in when a drain begins.
+	minBodyTime = 100 * time.Millisecond
 	// staleAge is the snapshot age beyond which an unknown route or credential may
 	// belong to a newer configuration.
 	staleAge = 3 * time.Second
@@ -156,15 +158,39 @@
 	if limits.HeaderBytes > 0 && headerSize(request) > limits.HeaderBytes {
 		return a, refusalError{http.StatusRequestHeaderFieldsTooLarge, reasonHeaders}
 	}
-	limitReading(w, request, a.timeLimit-(elmclock.Now()-began))
-	stop := context.AfterFunc(r.bodies, func() { limitReading(w, request, 0) })
-	defer stop()
+	release := r.limitBody(w, request, began+a.timeLimit)
+	defer release()
 	var err error
-	a.body, err = readBody(r.bodies, request, limits.BodyBytes)
+	a.body, err = r.readBody(request, limits.BodyBytes)
 	a.signatures = signaturesOf(request, a)
 	return a, err
 }
 
+// limitBody bounds the time in which the body of a request comes in, also if the router starts
+// to drain meanwhile. The returned function must be called when the body has been read.
+func (r *Router) limitBody(w http.ResponseWriter, request *http.Request, end time.Duration) (release func()) {
+	if r.draining.Load() {
+		limitReading(w, request, min(end, r.bodiesEnd())-elmclock.Now())
+		return func() {}
+	}
+	limitReading(w, request, end-elmclock.Now())
+	limited := make(chan struct{})
+	stop := context.AfterFunc(r.serving, func() {
+		defer close(limited)
+		limitReading(w, request, max(min(end, r.bodiesEnd())-elmclock.Now(), minBodyTime))
+	})
+	return func() {
+		if !stop() {
+			// If the body had ended before, the limit would end the request.
+			<-limited
+			_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // Not all writers support deadlines.
+		}
+	}
+}
+
+// bodiesEnd returns when a draining router no longer reads bodies.
+func (r *Router) bodiesEnd() time.Duration { return time.Duration(r.stopsAt.Load()) - lastBodyTime }
+
 // signaturesOf returns the signatures of an admitted request.
 func signaturesOf(request *http.Request, a admitted) []elmsignature.Signature {
 	var signatures []elmsignature.Signature
@@ -208,9 +234,8 @@
 	return size
 }
 
-// readBody reads the body of a request up to a limit, until the context ends. A limit of 0
-// means none.
-func readBody(ctx context.Context, request *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of a request up to a limit. A limit of 0 means none.
+func (r *Router) readBody(request *http.Request, limit int64) ([]byte, error) {
 	if limit > 0 && request.ContentLength > limit {
 		return nil, refusalError{http.StatusRequestEntityTooLarge, reasonBody}
 	}
@@ -220,7 +245,7 @@
 	}
 	body, err := io.ReadAll(reader)
 	switch {
-	case err != nil && ctx.Err() != nil:
+	case err != nil && r.draining.Load() && elmclock.Now() >= r.bodiesEnd():
 		return nil, refusalError{http.StatusServiceUnavailable, reasonStopping}
 	case err != nil:
 		return nil, refusalError{http.StatusRequestTimeout, reasonBodyUnread}
