Leave a request unread that crosses the close of an idle connection

The caller sends such a request again if it was not read. But the router read on for half a second after its last response and discarded what came, so that it was.

Reading on protects a response that is still on its way from a reset. There is none on a connection whose last response was complete half a second before, so it is closed at once, and what comes then is answered by a reset.

Evidence: TestRequestThatCrossesAnIdleCloseIsNotRead failed before in both cases ('the request was read: <nil>'). TestCloseWithUnreadBytes, which guards the reading on, is green.

--- a/internal/wire/elmlistener/close_test.go
+++ b/internal/wire/elmlistener/close_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -94,3 +95,38 @@
 		})
 	}
 }
+
+// Guards against a request that is lost without its caller's knowing: it crosses the close of an
+// idle connection, is read and discarded, and the caller does not send it again because it was
+// read.
+func TestRequestThatCrossesAnIdleCloseIsNotRead(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(*fixture) elmlistener.EndReason{
+		"idle limit": func(*fixture) elmlistener.EndReason { return elmlistener.EndedIdle },
+		"drain": func(f *fixture) elmlistener.EndReason {
+			f.limit.Store(int64(time.Minute))
+			<-time.After(600 * time.Millisecond)
+			go func() { _ = f.listener.Drain(context.Background()) }()
+			return elmlistener.EndedDraining
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, nil)
+			f.send(head + body)
+			f.expectAnswer()
+			f.expectEnd(end(f))
+			// The first bytes are answered by a reset, which the later ones meet.
+			var err error
+			for range 20 {
+				if _, err = io.WriteString(f.conn, head+body); err != nil {
+					break
+				}
+				<-time.After(10 * time.Millisecond)
+			}
+			if !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the request was read: %v", err)
+			}
+		})
+	}
+}
--- a/internal/wire/elmlistener/conn.go
+++ b/internal/wire/elmlistener/conn.go
@@ -257,12 +257,14 @@
 	return c.TCPConn.Close()
 }
 
-// startClosing reports whether the connection may linger: the peer may still send, and the
-// server's reader has ended.
+// startClosing reports whether the connection may linger: the peer may still send, the server's
+// reader has ended, and the last response may still be on its way. A request that comes after
+// that must stay unread, since the peer may send one that was not read again.
 func (c *conn) startClosing() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	linger := !c.final && !c.resets && c.reads == 0
+	responding := c.phase != awaiting || time.Since(c.idleSince) < lingerTime
+	linger := !c.final && !c.resets && c.reads == 0 && responding
 	c.final = true
 	return linger
 }
