--- a/cmd/elmsoak/main.go
+++ b/cmd/elmsoak/main.go
@@ -84,8 +84,8 @@
 		if err != nil {
 			return broken, err
 		}
-		fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d broken\n",
-			plan.Seed, report.Faults, report.Requests, report.Served, report.Refused, report.Failed, len(report.Broken))
+		fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d MB, %d broken\n",
+			plan.Seed, report.Faults, report.Requests, report.Served, report.Refused, report.Failed, report.PeakMemory>>20, len(report.Broken))
 		for _, b := range report.Broken {
 			fmt.Println("  " + b)
 		}
