--- a/cmd/elmsoak/main.go
+++ b/cmd/elmsoak/main.go
@@ -8,8 +8,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +72,18 @@
 	return strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
 }
 
+// breakdown returns the failures in parentheses, by their cause.
+func breakdown(failures map[string]int) string {
+	var list []string
+	for _, cause := range slices.Sorted(maps.Keys(failures)) {
+		list = append(list, fmt.Sprintf("%s %d", cause, failures[cause]))
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(list, ", ") + ")"
+}
+
 // run carries out a plan with a number of seeds from its own on, and returns the number
 // of violations.
 func run(plan elmsoak.Plan, seeds uint64) (int, error) {
@@ -84,8 +98,8 @@
 		if err != nil {
 			return broken, err
 		}
-		fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d MB, %d broken\n",
-			plan.Seed, report.Faults, report.Requests, report.Served, report.Refused, report.Failed, report.PeakMemory>>20, len(report.Broken))
+		fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed%s, %d MB, %d broken\n",
+			plan.Seed, report.Faults, report.Requests, report.Served, report.Refused, report.Failed, breakdown(report.Failures), report.PeakMemory>>20, len(report.Broken))
 		for _, b := range report.Broken {
 			fmt.Println("  " + b)
 		}
