Begin the request that waits for a place when the event is near

A request waits for a place for 1.6 s at most. The table test began it with the others, so that on a busy machine the event, after which an endpoint is listed, came too late for it: once in five runs with -race, beside other suites at a load average of 47 to 66 on 8 processors:

configuration_is_written_again: request "waits for a place": 503, want one of ["whole"] (held 1.671452s, verdict absent)

It begins once the others are in their states. 503 is allowed only where the event itself came over 1.1 s after it; the check is as strict as before otherwise.

--- a/internal/forward/elmrouter/events_test.go
+++ b/internal/forward/elmrouter/events_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/forward/elmretryafter"
 	"github.com/elmcove/elmcove/platform"
 )
 
@@ -178,26 +179,39 @@
 		e.silence = 1500 * time.Millisecond
 	}
 	happened := make(chan struct{})
+	var at time.Time // When the event has happened.
 	var ready, done sync.WaitGroup
-	for state := range requestStates {
+	begin := func(state string) {
 		ready.Add(1)
 		done.Go(func() {
+			began := time.Now()
 			outcome, err := f.callInState(state, e, &ready, happened)
 			allowed := e.outcomes[state]
 			if allowed == nil {
 				allowed = []string{whole}
 			}
+			if state == waiting && at.Sub(began) >= elmretryafter.MaxWait-500*time.Millisecond {
+				allowed = append(slices.Clone(allowed), "503") // The place came too late, on a busy machine.
+			}
 			if !slices.Contains(allowed, outcome) {
 				t.Errorf("request %q: %s, want one of %q: %v", state, outcome, allowed, err)
 			}
 		})
 	}
+	for state := range requestStates {
+		if state != waiting {
+			begin(state)
+		}
+	}
 	ready.Wait()
 	f.eventually("received", func() bool { return received.Load() >= 6 })
+	begin(waiting) // It waits for a short time.
+	ready.Wait()
 	<-time.After(100 * time.Millisecond) // The heads of requests are read, and the beginnings of streams.
 	if e.happen != nil {
 		e.happen(f)
 	}
+	at = time.Now()
 	close(happened)
 	done.Wait()
 	if t.Failed() {
