Let short orders pass the maps that a rank agent waits for

Orders of up to 2 KiB have no map and no longer wait; longer ones take a slot when that much has come in, and orders that name a map when they have been read. Sums of a collection have room for 32 ranks of the largest size.

TestPlainOrderDoesNotWaitForMaps did not end before (10 minutes).

--- a/internal/expert/elmrankagent/handler_test.go
+++ b/internal/expert/elmrankagent/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -48,10 +49,34 @@
 				request.Header.Set("Content-Encoding", "gzip")
 			}
 			w := httptest.NewRecorder()
-			a.forward(w, request)
+			a.handler().ServeHTTP(w, request)
 			if w.Code != c.status || (received.Load() == int64(c.size)) != (c.status == http.StatusAccepted) {
 				t.Errorf("status %d, want %d; the rank received %d bytes", w.Code, c.status, received.Load())
 			}
 		})
 	}
 }
+
+// Guards against a group that stands still because the order to go on waits until the maps of
+// other orders have come in.
+func TestPlainOrderDoesNotWaitForMaps(t *testing.T) {
+	rank := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) }))
+	defer rank.Close()
+	a := &Agent{settings: platform.Settings{EndpointAddress: strings.TrimPrefix(rank.URL, "http://")}, orders: platform.NewRankClient(5 * time.Second)}
+	handler := a.handler()
+	for range 2 * maxMapCalls {
+		body, long := io.Pipe()
+		defer long.Close() //nolint:errcheck // The order is cut off.
+		go handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, platform.OrderPath, body))
+		if _, err := long.Write(make([]byte, maxPlainOrderBytes)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequestWithContext(ctx, http.MethodPost, platform.OrderPath, strings.NewReader(`{"operation":"go","step":7}`)))
+	if w.Code != http.StatusAccepted {
+		t.Errorf("status %d", w.Code)
+	}
+}
--- a/internal/expert/elmrankagent/prepare_test.go
+++ b/internal/expert/elmrankagent/prepare_test.go
@@ -47,7 +47,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := &Agent{settings: platform.Settings{EndpointAddress: strings.TrimPrefix(rank.URL, "http://")}, orders: platform.NewRankClient(5 * time.Second)}
-			a.forward(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, platform.OrderPath, strings.NewReader(order)))
+			a.handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, platform.OrderPath, strings.NewReader(order)))
 			<-received
 			body, err := proto.Marshal(c.prepare)
 			if err != nil {
--- a/internal/expert/elmrankagent/state.go
+++ b/internal/expert/elmrankagent/state.go
@@ -28,7 +28,7 @@
 	// maxPlanners is the number of planners whose baselines are kept.
 	maxPlanners = 4
 	// maxSums limits the sums over the ranks of all groups of a collection.
-	maxSums = 1 << 17
+	maxSums = 1 << 18
 )
 
 // baselines holds the selections of the agent's rank as of the last answer to each
