Bound what a link has received and not read

The window of a link had room for all 4,096 streams: 512 MiB. A review showed 256 MB taken from a peer that opens streams which an entry never reads, and 125 MB from 2,000 callers who do not read. The window now has room for 128 streams, twice what an agent runs by default, and the side that dials accepts no streams. TestUnreadStreamsDontBlockOthers is green.

--- a/internal/wire/elmlink/dialer.go
+++ b/internal/wire/elmlink/dialer.go
@@ -34,7 +34,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrLink, err)
 	}
-	conn, err := d.transport.Dial(ctx, remote, d.config, QUICConfig())
+	config := QUICConfig()
+	config.MaxIncomingStreams = -1 // Only the dialer opens streams.
+	conn, err := d.transport.Dial(ctx, remote, d.config, config)
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial %s: %w", ErrLink, address, err)
 	}
--- a/internal/wire/elmlink/elmlink.go
+++ b/internal/wire/elmlink/elmlink.go
@@ -43,9 +43,10 @@
 	// not read yet, at first and when it is read fast.
 	streamWindowBytes    = 64 << 10
 	maxStreamWindowBytes = 128 << 10
-	// linkWindowBytes has room for all streams, so that those that are not read never hold
-	// up others or the control stream.
-	linkWindowBytes = maxStreams * maxStreamWindowBytes
+	// linkWindowBytes limits what is received of a link and not read yet. It has room for twice
+	// as many streams as an agent runs by default, so that those that are not read hold up
+	// neither others nor the control stream.
+	linkWindowBytes = 128 * maxStreamWindowBytes
 )
 
 var (
