--- a/internal/wire/elmlistener/keepalive.go
+++ b/internal/wire/elmlistener/keepalive.go
@@ -22,7 +22,7 @@
 // answer.
 func AnnounceKeepAlive(head http.Header, request *http.Request) {
 	c, ok := request.Context().Value(connKey{}).(*conn)
-	if !ok || !request.ProtoAtLeast(1, 1) || head.Get("Connection") != "" {
+	if !ok || !request.ProtoAtLeast(1, 1) || request.Close || head.Get("Connection") != "" {
 		return
 	}
 	if seconds := c.announce() / time.Second; seconds > 0 {
