--- a/internal/observe/elmlog/elmlog.go
+++ b/internal/observe/elmlog/elmlog.go
@@ -20,6 +20,9 @@
 // maxValueBytes limits a value in a line. Errors may quote what a peer has sent.
 const maxValueBytes = 1 << 10
 
+// stackKey is the key of the stack of a panic.
+const stackKey = "stack"
+
 // Logger writes events to one output. It is safe for concurrent use.
 type Logger struct {
 	logger hclog.Logger
@@ -93,6 +96,9 @@
 		}
 	}
 	for i, value := range line {
+		if i > 0 && line[i-1] == stackKey {
+			continue // It has a limit of its own.
+		}
 		line[i] = format(value)
 	}
 	l.logger.Log(entry.Level, entry.Text, line...)
--- a/internal/observe/elmlog/length_test.go
+++ b/internal/observe/elmlog/length_test.go
@@ -29,3 +29,13 @@
 		}
 	}
 }
+
+// Guards against the stack of a panic that is cut before it shows where the panic happened.
+func TestStackIsKept(t *testing.T) {
+	stack := strings.Repeat("s", 2<<10)
+	var line bytes.Buffer
+	elmlog.NewJSON("a", &line).Event(elmlog.PanicRecovered, "panic", "p", "stack", stack)
+	if !strings.Contains(line.String(), stack) {
+		t.Errorf("a line of %d bytes", line.Len())
+	}
+}
