--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -31,10 +31,6 @@
 	// keyHeader is the header that carries the idempotency key to the endpoint.
 	keyHeader = "Elmcove-Key"
 
-	// minChunkBytes and maxChunkBytes are the sizes of the first and the later parts in
-	// which a body is kept.
-	minChunkBytes      = 1 << 10
-	maxChunkBytes      = 32 << 10
 	maxBodyPrefixBytes = 4096
 	loadPath           = "/load"
 	loadTimeout        = 200 * time.Millisecond
@@ -222,7 +218,7 @@
 }
 
 func (c *Client) forwardComplete(reply Reply, body io.Reader, sink Sink) (Reply, error) {
-	chunks, err := readChunks(body)
+	chunks, err := elmbounded.ReadChunks(body)
 	if err != nil {
 		return reply, fmt.Errorf("%w: %w", ErrEndpoint, err)
 	}
@@ -238,26 +234,6 @@
 	return reply, nil
 }
 
-// readChunks reads a body to its end. Unlike io.ReadAll, it never holds a body twice.
-func readChunks(body io.Reader) ([][]byte, error) {
-	var chunks [][]byte
-	chunk := make([]byte, 0, minChunkBytes)
-	for {
-		n, err := body.Read(chunk[len(chunk):cap(chunk)])
-		chunk = chunk[:len(chunk)+n]
-		if (err != nil || len(chunk) == cap(chunk)) && len(chunk) > 0 {
-			chunks = append(chunks, chunk)
-			chunk = make([]byte, 0, min(2*cap(chunk), maxChunkBytes))
-		}
-		if errors.Is(err, io.EOF) {
-			return chunks, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // isRefusal reports whether a status means that another endpoint should be tried.
 func isRefusal(status int) bool {
 	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
