Name the cause of an attempt that continues elsewhere for what it is

Log lines of requests that left a silent or lost endpoint said that their stream moved away from a slow rank. The comment on the order of initialisation was inaccurate. No behaviour changes.

--- a/internal/command/elmsignals/elmsignals.go
+++ b/internal/command/elmsignals/elmsignals.go
@@ -1,9 +1,8 @@
 // Package elmsignals catches the signals to this process before other packages are initialised.
 //
 // A signal that is not caught ends the process. The initialisation of all packages takes
-// milliseconds, so that SIGHUP would end a process that has just been started. Packages are
-// initialised in the order of their imports, which is why this one imports nothing that takes
-// time to initialise.
+// milliseconds, so that SIGHUP would end a process that has just been started. A package is
+// initialised as soon as those that it imports are, which is why this one imports few.
 //
 // # Usage
 //
--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -213,7 +213,7 @@
 		return m
 	}
 	if d.migrate(elmplace.Ignored) {
-		d.cause = errStreamMigrated
+		d.cause = errMigrated
 		return elmlifecycle.ResponseLost{}
 	}
 	d.release(elmplace.Failed)
@@ -271,7 +271,7 @@
 	}
 	if continuable := d.route.Resumable && d.isStream(); !continuable && !d.pin() {
 		d.migrate(elmplace.Ignored)
-		d.cause = errStreamMigrated
+		d.cause = errMigrated
 		return elmlifecycle.ResponseLost{}
 	}
 	return elmlifecycle.HeadersReceived{}
--- a/internal/forward/elmrouter/migrate.go
+++ b/internal/forward/elmrouter/migrate.go
@@ -11,9 +11,9 @@
 	"github.com/elmcove/elmcove/internal/observe/elmclock"
 )
 
-// errStreamMigrated is the cause with which an attempt ends that continues at another
+// errMigrated is the cause with which an attempt ends that continues at another
 // endpoint.
-var errStreamMigrated = errors.New("stream moved away from a slow rank")
+var errMigrated = errors.New("request continues at another endpoint")
 
 const (
 	// minSilence is how long an attempt is silent before it is decided whether the request
@@ -168,7 +168,7 @@
 		}
 		if member, ok := r.reserve(a.query, snapshot.Members(a.query.Service.Name, now), now); ok {
 			a.reserved = &member
-			a.cancel(errStreamMigrated)
+			a.cancel(errMigrated)
 		}
 	}
 }
--- a/internal/forward/elmrouter/relay.go
+++ b/internal/forward/elmrouter/relay.go
@@ -74,7 +74,7 @@
 		return m
 	}
 	if d.migrate(elmplace.Ignored) {
-		d.cause = errStreamMigrated
+		d.cause = errMigrated
 		return elmlifecycle.Truncated{Resumable: true}
 	}
 	d.release(elmplace.Failed)
@@ -124,7 +124,7 @@
 		return nil
 	}
 	if events && d.splitter.LastID() == "" && !d.pin() {
-		return errStreamMigrated
+		return errMigrated
 	}
 	if _, err := d.writer.Write(part); err != nil {
 		return errCallerDisconnected
