Remove the decoder of levels that nothing calls any more

Since collections add the levels of a rank to their sums, only tests called Levels.Decode. They use Len and AddTo, of which it was made; their assertions are unchanged.

--- a/internal/expert/elmlevels/elmlevels.go
+++ b/internal/expert/elmlevels/elmlevels.go
@@ -5,7 +5,8 @@
 // # Usage
 //
 //	levels := elmlevels.Encode(counts, rand.Float64)
-//	counts := levels.Decode(n)
+//	sums := make([]float64, levels.Len(n))
+//	levels.AddTo(sums)
 package elmlevels
 
 import "slices"
@@ -37,16 +38,6 @@
 	return l
 }
 
-// Decode returns the counts of a list of up to n. Without any count it returns nil.
-func (l Levels) Decode(n int) []float64 {
-	if len(l.Packed) == 0 {
-		return nil
-	}
-	counts := make([]float64, l.Len(n))
-	l.AddTo(counts)
-	return counts
-}
-
 // Len returns the number of counts in a list of up to n.
 func (l Levels) Len(n int) int { return min(n, 2*len(l.Packed)) }
 
--- a/internal/expert/elmlevels/elmlevels_test.go
+++ b/internal/expert/elmlevels/elmlevels_test.go
@@ -9,6 +9,13 @@
 	"github.com/elmcove/elmcove/internal/expert/elmlevels"
 )
 
+// decode returns the counts of a list of up to n.
+func decode(levels elmlevels.Levels, n int) []float64 {
+	counts := make([]float64, levels.Len(n))
+	levels.AddTo(counts)
+	return counts
+}
+
 // Guards against demand that is lost or shifted by the encoding: the sum over the ranks of
 // a group differs little from the true one.
 func TestSumsOverRanks(t *testing.T) {
@@ -27,7 +34,7 @@
 					counts[e] = int64(popularity[e] * random.Float64() * 2)
 					want[e] += float64(counts[e])
 				}
-				for e, n := range elmlevels.Encode(counts, random.Float64).Decode(experts) {
+				for e, n := range decode(elmlevels.Encode(counts, random.Float64), experts) {
 					got[e] += n
 				}
 			}
@@ -59,7 +66,7 @@
 		"more asked":  {counts: []int64{15, 30}, n: 9, want: []float64{16, 30}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := elmlevels.Encode(c.counts, half).Decode(c.n); fmt.Sprint(got) != fmt.Sprint(c.want) {
+			if got := decode(elmlevels.Encode(c.counts, half), c.n); fmt.Sprint(got) != fmt.Sprint(c.want) {
 				t.Errorf("got %v, want %v", got, c.want)
 			}
 		})
