--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -248,7 +248,7 @@
 	w.network.Release()
 	_ = w.record.file.Close()
 	if os.Getenv("KEEP_LOGS") == "" {
-		_ = os.RemoveAll(w.folder) // It is in the folder for temporary files.
+		_ = os.RemoveAll(w.folder) //nolint:gosec // It is in the folder for temporary files.
 	} else {
 		fmt.Println("logs:", w.folder)
 	}
