Forward no status that promises a run request has not run

Cause: a sealed response without Not-Executed was forwarded whatever its status. 408, 429 and 503 of an endpoint say that it failed; from the router they promise that the request has not run and never will.

Change: such a response counts as lost. Requests that may be repeated are retried within attempts and budget, others get 502 without the seal. 421 stays a rejection.

--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -19,6 +19,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmlog"
 	"github.com/elmcove/elmcove/internal/observe/elmmeter"
 	"github.com/elmcove/elmcove/internal/wire/elmevents"
+	"github.com/elmcove/elmcove/internal/wire/elmstatus"
 	"github.com/elmcove/elmcove/platform"
 )
 
@@ -286,6 +287,11 @@
 		d.response.Discard()
 		d.migrate(elmplace.Failed)
 		return elmlifecycle.ResponseLost{}
+	case elmstatus.Code(d.response.Status).PromisesNotRun(): // The endpoint itself does not say so.
+		d.cause = refusalError{d.response.Status, "endpoint may have run the request that it refused"}
+		d.response.Discard()
+		d.release(elmplace.Failed)
+		return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
 	}
 	if !resumed {
 		if err := d.readFirst(); err != nil {
