Own interface: pass on no status that promises a run request has not run

Callers saw 503 for an order that the service had run, with a key and without; the page for callers says that a 503 never ran. 408, 421 and 429 passed as well.

Cause: agents passed on the status of a non-idempotent request whatever it was, and 408 and 421 of idempotent ones.

Change: endpoints of the own interface can't state that a request has not run, so that these four statuses count as failures: idempotent requests are tried elsewhere, others end with the outcome unknown (504, with a key 409).

Before the change TestOrderThatRanIsNotRefused (real processes) failed in 2 of 2 cases ("status 503, outcome """), TestRequestThatRanIsNotRefused in 4 of 6. After it both pass, with the packages below internal/agent.

--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -24,6 +24,7 @@
 	"github.com/elmcove/elmcove/internal/observe/elmtrace"
 	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmevents"
+	"github.com/elmcove/elmcove/internal/wire/elmstatus"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -48,7 +49,8 @@
 var (
 	// ErrEndpoint reports that the endpoint gave no complete response.
 	ErrEndpoint = errors.New("endpoint failed")
-	// ErrRefused reports that the endpoint refused an idempotent request.
+	// ErrRefused reports that the endpoint answered with a status that is not passed on. It
+	// may have run the request.
 	ErrRefused = errors.New("endpoint refused")
 )
 
@@ -112,7 +114,7 @@
 		return Reply{}, err
 	}
 	defer func() { _ = response.Body.Close() }() // The response is no longer used.
-	if !open.GetOnce() && isRefusal(response.StatusCode) {
+	if isRefusal(response.StatusCode, open.GetOnce()) {
 		return Reply{}, fmt.Errorf("%w: %s", ErrRefused, response.Status)
 	}
 	reply := Reply{Status: uint32(response.StatusCode), Media: response.Header.Get("Content-Type")}
@@ -234,9 +236,11 @@
 	return reply, nil
 }
 
-// isRefusal reports whether a status means that another endpoint should be tried.
-func isRefusal(status int) bool {
-	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+// isRefusal reports whether a status is not passed on: one that promises that the request has
+// not run, which endpoints can't state, or a failure of an idempotent request, for which
+// another endpoint should be tried.
+func isRefusal(status int, once bool) bool {
+	return elmstatus.Code(status).PromisesNotRun() || !once && status >= http.StatusInternalServerError
 }
 
 func elapsedSince(last, now time.Time) time.Duration {
--- a/internal/agent/elmendpointclient/elmendpointclient_test.go
+++ b/internal/agent/elmendpointclient/elmendpointclient_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/elmcove/elmcove/internal/agent/elmendpointclient"
 	"github.com/elmcove/elmcove/internal/stand/elmbody"
+	"github.com/elmcove/elmcove/internal/stand/elmscript"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -76,3 +77,31 @@
 		})
 	}
 }
+
+// Guards against a status that promises that a request has not run, of an endpoint that has
+// run it, and that reaches the caller as the answer.
+func TestRequestThatRanIsNotRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		status string
+		// once and idempotent are the errors for requests of these kinds.
+		once, idempotent error
+	}{
+		"request timeout":     {"408 Request Timeout", elmendpointclient.ErrRefused, elmendpointclient.ErrRefused},
+		"misdirected request": {"421 Misdirected Request", elmendpointclient.ErrRefused, elmendpointclient.ErrRefused},
+		"too many requests":   {"429 Too Many Requests", elmendpointclient.ErrRefused, elmendpointclient.ErrRefused},
+		"service unavailable": {"503 Service Unavailable", elmendpointclient.ErrRefused, elmendpointclient.ErrRefused},
+		"another failure":     {"500 Internal Server Error", nil, elmendpointclient.ErrRefused},
+		"not found":           {"404 Not Found", nil, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := serveText(t, elmscript.Response(c.status, "no", "Content-Length: 2"))
+			for once, want := range map[bool]error{true: c.once, false: c.idempotent} {
+				var got recorder
+				_, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/orders", Once: once}, &got)
+				if !errors.Is(err, want) || (want != nil) != (got.body.Len() == 0) {
+					t.Errorf("once %v: error %v, body %q", once, err, got.body.String())
+				}
+			}
+		})
+	}
+}
--- a/internal/stand/elmbody/elmbody.go
+++ b/internal/stand/elmbody/elmbody.go
@@ -33,6 +33,9 @@
 	// Reset means that the connection of an unframed response is reset before its
 	// end.
 	Reset Ending = "reset"
+	// Unavailable means that the response is a complete failure with status 503, of a
+	// request that has run.
+	Unavailable Ending = "unavailable"
 )
 
 // Body is the body of a response.
--- a/internal/stand/elmlocal/elmlocal_test.go
+++ b/internal/stand/elmlocal/elmlocal_test.go
@@ -169,6 +169,31 @@
 	f.wantExecutions("", 2, 2)
 }
 
+// Guards against an order that has run and whose caller is told by 503 that it has not: the
+// service itself answers so.
+func TestOrderThatRanIsNotRefused(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	for name, c := range map[string]struct {
+		key    string
+		status int
+	}{
+		"without a key": {"", 504},
+		"with a key":    {newKey(), 409},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := f.site.BreakNext(f.ctx, "dispatch", elmbody.Unavailable); err != nil {
+				t.Fatal(err)
+			}
+			a := f.order(1, c.key, settleTime)
+			if a.Status != c.status || a.Problem().Outcome != "unknown" {
+				t.Errorf("status %d, outcome %q: %s", a.Status, a.Problem().Outcome, a.Body)
+			}
+			f.wantExecutions(c.key, 1, 1)
+		})
+	}
+}
+
 // TestEngineBreaksOff guards against a truncated stream that looks complete when
 // the engine's response ends early.
 func TestEngineBreaksOff(t *testing.T) {
--- a/internal/stand/elmservice/elmservice.go
+++ b/internal/stand/elmservice/elmservice.go
@@ -74,6 +74,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(s.delay)
+	if ending == elmbody.Unavailable {
+		http.Error(w, "failed after the order was filed", http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	b := elmbody.New(w)
 	if ending != "" {
