Own interface: no 503 for a request that an endpoint may have run

Callers of idempotent requests got 503 with the outcome unknown if one endpoint may have run the request and no other could take it then. The page for callers says that a 503 never ran.

Cause: the cause of the refusal was always the capacity, only its outcome was not.

Change: with the outcome unknown the cause is the unknown outcome, so that the status is 504 as for other such requests.

TestOutcome now checks the cause beside the outcome; 4 of its 8 cases failed before the change ("Expected: false, Actual: true"), and all pass after it.

--- a/internal/entry/elmrequest/elmrequest.go
+++ b/internal/entry/elmrequest/elmrequest.go
@@ -294,7 +294,7 @@
 func (r Request) refusal(action string) []Command {
 	switch action {
 	case "refuse-unrun":
-		return []Command{Refuse{Outcome: r.outcome(), Cause: CauseCapacity}}
+		return []Command{r.refuseUnrun()}
 	case "refuse-unknown":
 		return []Command{Refuse{Outcome: Unknown, Cause: CauseUnknownOutcome}}
 	case "cancel-refuse-unknown":
@@ -305,13 +305,13 @@
 	return nil
 }
 
-// outcome returns the outcome of a request whose last attempt did not run. It
-// is Unknown if an earlier attempt may have run.
-func (r Request) outcome() Outcome {
+// refuseUnrun returns the refusal of a request whose last attempt did not run. The
+// outcome is Unknown if an earlier attempt may have run.
+func (r Request) refuseUnrun() Refuse {
 	if r.mayHaveRun {
-		return Unknown
+		return Refuse{Outcome: Unknown, Cause: CauseUnknownOutcome}
 	}
-	return NotRun
+	return Refuse{Outcome: NotRun, Cause: CauseCapacity}
 }
 
 func (r Request) void() Void {
--- a/internal/entry/elmrequest/elmrequest_test.go
+++ b/internal/entry/elmrequest/elmrequest_test.go
@@ -15,7 +15,8 @@
 )
 
 // TestOutcome checks the outcome that is reported for requests without a key
-// that get no response.
+// that get no response. It guards against a cause, and so a status, by which a request that
+// may have run counts as one that has not.
 func TestOutcome(t *testing.T) {
 	placed := elmrequest.Placed{Agent: "draft-1"}
 	tests := map[string]struct {
@@ -77,17 +78,19 @@
 		Convey(name, t, func() {
 			request, _ := elmrequest.New("r", test.kind).Update(elmrequest.Start{})
 			var outcome elmrequest.Outcome
+			var cause elmrequest.Cause
 			for _, m := range test.messages {
 				var commands []elmrequest.Command
 				request, commands = request.Update(m)
 				for _, c := range commands {
 					if refuse, ok := c.(elmrequest.Refuse); ok {
-						outcome = refuse.Outcome
+						outcome, cause = refuse.Outcome, refuse.Cause
 					}
 				}
 			}
 			So(request.Done(), ShouldBeTrue)
 			So(outcome, ShouldEqual, test.want)
+			So(cause == elmrequest.CauseCapacity, ShouldEqual, test.want == elmrequest.NotRun)
 		})
 	}
 }
