TestBodiesOfManyCallers: close the connections of its probes

Traced: it opens a connection for each probe until the configuration is in force and keeps them, 2,039 and 2,049 in two runs, so that the entry reaches its limit of connections and ends those of the bodies.

--- a/internal/entry/elmentry/memory_test.go
+++ b/internal/entry/elmentry/memory_test.go
@@ -71,6 +71,7 @@
 		if time.Since(started) > 10*time.Second {
 			t.Fatal("the configuration is not in force")
 		}
+		_ = connections[len(connections)-1].Close() // So that connections do not reach their limit.
 	}
 	refused, held := 0, 0
 	for range callers {
