Take no response whose status is none

Callers got answers with the status 000 on the own interface; at the router they lost their connection, and with Not-Executed the status counted as the promise that the request has not run, so that an order ran at a second endpoint.

Cause: net/http accepts 000, 099, 600 and +20 as a status, and its users trusted it.

Change: elmhead checks heads byte by byte beside net/http. elmresponse applies it to all responses of a connection to an endpoint, elmtransport to those of HTTP clients; all readers of answers use one of them.

--- a/internal/agent/elmendpointclient/cut_test.go
+++ b/internal/agent/elmendpointclient/cut_test.go
@@ -1,6 +1,7 @@
 package elmendpointclient_test
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -97,3 +98,25 @@
 		}
 	}
 }
+
+// Guards against a response whose head is malformed and that reaches the caller as an answer.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":              "HTTP/1.1 000 None\r\n",
+		"status 099":              "HTTP/1.1 099 None\r\n",
+		"status 600":              "HTTP/1.1 600 None\r\n",
+		"status 000 as an answer": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n",
+		"switch of protocols":     "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: a\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := serveText(t, head+"Content-Length: 2\r\n\r\nhi")
+			for _, once := range []bool{true, false} {
+				var got recorder
+				_, err := client.Call(t.Context(), &elmwire.Open{Method: "POST", Path: "/orders", Once: once}, &got)
+				if !errors.Is(err, elmendpointclient.ErrEndpoint) || got.body.Len() > 0 {
+					t.Errorf("once %v: error %v, body %q", once, err, got.body.String())
+				}
+			}
+		})
+	}
+}
--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -25,6 +25,7 @@
 	"github.com/elmcove/elmcove/internal/wire/elmbounded"
 	"github.com/elmcove/elmcove/internal/wire/elmevents"
 	"github.com/elmcove/elmcove/internal/wire/elmstatus"
+	"github.com/elmcove/elmcove/internal/wire/elmtransport"
 	"github.com/elmcove/elmcove/internal/wire/elmwire"
 )
 
@@ -89,7 +90,7 @@
 func New(endpoint string) *Client {
 	return &Client{
 		endpoint: strings.TrimSuffix(endpoint, "/"),
-		requests: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
+		requests: &http.Client{Transport: elmtransport.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes})},
 		reports:  &http.Client{Transport: elmbounded.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1}, maxHeadBytes, maxLoadBytes)},
 	}
 }
@@ -114,6 +115,9 @@
 		return Reply{}, err
 	}
 	defer func() { _ = response.Body.Close() }() // The response is no longer used.
+	if response.StatusCode < http.StatusOK {
+		return Reply{}, fmt.Errorf("%w: %s without a request for it", ErrEndpoint, response.Status)
+	}
 	if isRefusal(response.StatusCode, open.GetOnce()) {
 		return Reply{}, fmt.Errorf("%w: %s", ErrRefused, response.Status)
 	}
--- a/internal/command/elmcommand/route.go
+++ b/internal/command/elmcommand/route.go
@@ -14,6 +14,7 @@
 
 	"github.com/elmcove/elmcove/internal/forward/elmexplain"
 	"github.com/elmcove/elmcove/internal/wire/elmbounded"
+	"github.com/elmcove/elmcove/internal/wire/elmtransport"
 )
 
 const (
@@ -103,7 +104,7 @@
 	}
 	// No proxy and no other server gets the credential.
 	client := &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     elmtransport.New(&http.Transport{DisableKeepAlives: true}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	response, err := client.Do(request)
--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -11,7 +11,6 @@
 package elmexchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -27,6 +26,7 @@
 	"syscall"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/wire/elmresponse"
 	"github.com/elmcove/elmcove/internal/wire/elmsocket"
 )
 
@@ -136,7 +136,7 @@
 // expires; a zero time forbids reuse.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *elmresponse.Reader
 	// headBytes is the number of bytes that may still be read, while inHead is set.
 	headBytes int
 	inHead    bool
@@ -263,7 +263,7 @@
 	c.inHead, c.headBytes = true, maxHeadBytes
 	defer func() { c.inHead = false }()
 	for strays := 0; ; {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, err := c.reader.Next(&http.Request{Method: r.Method})
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
@@ -303,7 +303,7 @@
 	}
 	cl.opened(address)
 	c := &conn{Conn: dialed, address: address, expires: time.Now().Add(defaultIdleTimeout), unacked: unackedTimeout}
-	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	c.reader = elmresponse.NewReader(c, readBufferSize)
 	return c, nil
 }
 
--- a/internal/wire/elmbounded/transport.go
+++ b/internal/wire/elmbounded/transport.go
@@ -1,11 +1,15 @@
 package elmbounded
 
-import "net/http"
+import (
+	"net/http"
 
-// Transport limits the responses that an http.Transport receives, for clients whose
+	"github.com/elmcove/elmcove/internal/wire/elmtransport"
+)
+
+// Transport limits the responses that a strict transport receives, for clients whose
 // responses are documents. It is safe for concurrent use.
 type Transport struct {
-	inner        *http.Transport
+	inner        *elmtransport.Transport
 	maxBodyBytes int64
 	budget       *Budget
 }
@@ -14,9 +18,9 @@
 // response, together with the interim responses before it, has at most maxHeadBytes.
 // Reading a body of more than maxBodyBytes fails with ErrTooLong.
 func NewTransport(options *http.Transport, maxHeadBytes, maxBodyBytes int64) *Transport {
-	inner := options.Clone()
-	inner.MaxResponseHeaderBytes = maxHeadBytes
-	return &Transport{inner: inner, maxBodyBytes: maxBodyBytes}
+	options = options.Clone()
+	options.MaxResponseHeaderBytes = maxHeadBytes
+	return &Transport{inner: elmtransport.New(options), maxBodyBytes: maxBodyBytes}
 }
 
 // WithBudget returns a copy whose bodies share a budget.
--- a/internal/wire/elmstatus/elmstatus.go
+++ b/internal/wire/elmstatus/elmstatus.go
@@ -1,4 +1,4 @@
-// Package elmstatus classifies status codes by what they tell a caller about its request.
+// Package elmstatus classifies the status codes of responses.
 //
 // # Usage
 //
@@ -10,6 +10,14 @@
 // Code is the status code of a response.
 type Code int
 
+// IsValid reports whether the code is a status of HTTP (RFC 9110, section 15).
+func (c Code) IsValid() bool { return c >= 100 && c < 600 }
+
+// IsInterim reports whether the final response is still to come.
+func (c Code) IsInterim() bool {
+	return c >= 100 && c < 200 && c != http.StatusSwitchingProtocols
+}
+
 // PromisesNotRun reports whether the status promises that the request has not run and never
 // will, so that callers may send it again even if it is not idempotent.
 func (c Code) PromisesNotRun() bool {
--- /dev/null
+++ b/internal/wire/elmtransport/elmtransport.go
@@ -0,0 +1,99 @@
+// Package elmtransport is net/http's client with strict checks of what it receives: a response
+// whose head is malformed is an error, interim responses included.
+//
+// # Usage
+//
+//	client := &http.Client{Transport: elmtransport.New(&http.Transport{MaxIdleConnsPerHost: 1})}
+//
+// Connections with TLS are read by net/http alone.
+package elmtransport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/elmcove/elmcove/internal/wire/elmhead"
+)
+
+// Transport is an http.Transport with strict checks. It is safe for concurrent use.
+type Transport struct{ inner *http.Transport }
+
+// New returns a Transport with the options of an http.Transport.
+func New(options *http.Transport) *Transport {
+	inner := options.Clone()
+	dial := inner.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	inner.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialed, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: dialed}, nil
+	}
+	return &Transport{inner: inner}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.expectHead()
+		}
+	}}
+	ctx := httptrace.WithClientTrace(request.Context(), trace)
+	return t.inner.RoundTrip(request.WithContext(ctx)) //nolint:wrapcheck // The client wraps it.
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.inner.CloseIdleConnections() }
+
+// conn checks the head of the response to each request.
+type conn struct {
+	net.Conn
+
+	mutex sync.Mutex
+	// checker checks the head that is expected, or is nil.
+	checker *elmhead.Checker
+}
+
+// expectHead starts to check the response to a request that is about to be sent.
+func (c *conn) expectHead() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.checker = &elmhead.Checker{}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if malformed := c.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err //nolint:wrapcheck // As if the connection were not checked.
+}
+
+// check checks the received bytes that belong to heads.
+func (c *conn) check(received []byte) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for len(received) > 0 && c.checker != nil {
+		n, err := c.checker.Feed(received)
+		if err != nil {
+			return err //nolint:wrapcheck // The client wraps it.
+		}
+		received = received[n:]
+		switch {
+		case !c.checker.Done():
+		case c.checker.IsInterim():
+			c.checker = &elmhead.Checker{}
+		default:
+			c.checker = nil
+		}
+	}
+	return nil
+}
