Take no reset during an upload for the end of a response

Callers got part of a response as a complete 200: the endpoint answered a long upload at once, without a length, and reset the connection while the upload was written.

Cause: the kernel reports the error of a lost connection once. The write of the upload took it, and the read then saw the end of the stream. Ruled out: resets without an upload were recognised before.

Change: elmconn hands the error that a write has met to the reader, for connections of the exchange and of HTTP clients. A read waits for a write in progress only if the kernel has no connection any more, so that a peer which ends its stream in order is whole as before.

--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -26,6 +26,7 @@
 	"syscall"
 	"time"
 
+	"github.com/elmcove/elmcove/internal/wire/elmconn"
 	"github.com/elmcove/elmcove/internal/wire/elmresponse"
 	"github.com/elmcove/elmcove/internal/wire/elmsocket"
 )
@@ -135,7 +136,7 @@
 // conn is a connection that carries one request at a time. It may be reused until
 // expires; a zero time forbids reuse.
 type conn struct {
-	net.Conn
+	*elmconn.Conn
 	reader *elmresponse.Reader
 	// headBytes is the number of bytes that may still be read, while inHead is set.
 	headBytes int
@@ -202,11 +203,10 @@
 
 // limitUnacked sets how long data may stay unacknowledged.
 func (c *conn) limitUnacked(limit time.Duration) {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || limit == c.unacked {
+	if limit == c.unacked {
 		return
 	}
-	_ = elmsocket.SetUserTimeout(tcp, limit) // It fails only on a closed connection.
+	_ = elmsocket.SetUserTimeout(c, limit) // It fails only on a closed connection.
 	c.unacked = limit
 }
 
@@ -302,7 +302,7 @@
 		return nil, fmt.Errorf("connect: %w", err)
 	}
 	cl.opened(address)
-	c := &conn{Conn: dialed, address: address, expires: time.Now().Add(defaultIdleTimeout), unacked: unackedTimeout}
+	c := &conn{Conn: elmconn.New(dialed), address: address, expires: time.Now().Add(defaultIdleTimeout), unacked: unackedTimeout}
 	c.reader = elmresponse.NewReader(c, readBufferSize)
 	return c, nil
 }
@@ -378,11 +378,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/stand/elmscript/elmscript.go
+++ b/internal/stand/elmscript/elmscript.go
@@ -48,6 +48,56 @@
 	return addresses, nil
 }
 
+// ServeEarly starts an endpoint that answers each request with a text before it has read the
+// request's body, and then ends the connection as the function does, until the context ends. It
+// returns its address.
+func ServeEarly(ctx context.Context, response string, end func(*net.TCPConn)) (string, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("scripted endpoint: %w", err)
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerEarly(conn, response, end)
+		}
+	}()
+	return listener.Addr().String(), nil
+}
+
+// minBuffer is the size of the smallest buffer of a bufio.Reader, so that as much of a request's
+// body as possible stays in the socket.
+const minBuffer = 16
+
+// answerEarly answers the request of a connection before its body was read.
+func answerEarly(conn net.Conn, response string, end func(*net.TCPConn)) {
+	defer conn.Close() //nolint:errcheck // The connection is no longer needed.
+	if _, err := http.ReadRequest(bufio.NewReaderSize(conn, minBuffer)); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, response) // The caller may have disconnected.
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		end(tcp)
+	}
+}
+
+// Reset makes the end of the connection a reset, whatever was read and written.
+func Reset(conn *net.TCPConn) { _ = conn.SetLinger(0) }
+
+// CloseUnread waits until a part of the request's body has arrived that stays unread, so that the
+// end of the connection is a reset.
+func CloseUnread(conn *net.TCPConn) { _, _ = conn.Read(make([]byte, 1)) }
+
+// End ends the response in order, and reads the rest of the request's body.
+func End(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // Response returns a response with a status line, the lines of its head, and a body.
 func Response(status, body string, lines ...string) string {
 	return "HTTP/1.1 " + status + "\r\n" + strings.Join(append(lines, "", ""), "\r\n") + body
--- a/internal/wire/elmsocket/elmsocket.go
+++ b/internal/wire/elmsocket/elmsocket.go
@@ -1,4 +1,4 @@
-// Package elmsocket sets TCP socket options that the standard library does not
+// Package elmsocket sets and reads TCP socket options that the standard library does not
 // expose.
 //
 // # Usage
@@ -39,3 +39,21 @@
 	})
 	return errors.Join(err, optionErr)
 }
+
+// stateClosed is the state of a connection that was reset or timed out (TCP_CLOSE).
+const stateClosed = 7
+
+// IsClosed reports whether an open socket has no connection any more, so that writes fail at
+// once. It is false while the peer has only ended its stream, or if the state is not known.
+func IsClosed(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = infoErr == nil && info.State == stateClosed
+	})
+	return err == nil && closed
+}
--- a/internal/wire/elmtransport/elmtransport.go
+++ b/internal/wire/elmtransport/elmtransport.go
@@ -15,6 +15,7 @@
 	"net/http/httptrace"
 	"sync"
 
+	"github.com/elmcove/elmcove/internal/wire/elmconn"
 	"github.com/elmcove/elmcove/internal/wire/elmhead"
 )
 
@@ -33,7 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: dialed}, nil
+		return &conn{Conn: elmconn.New(dialed)}, nil
 	}
 	return &Transport{inner: inner}
 }
