Take no response with a malformed name of a field

Callers got answers with "X Y: z" in their head passed on, and with another body than was meant: "Content-Length : 2" was no length. Answers of the store, ranks and agents were used as well.

Cause: net/http's client accepts blanks in names and joins continued lines; its server refuses such names, nobody did in responses. Control bytes were refused before.

Change: the checker of heads demands tokens (httpguts) directly followed by a colon, in final and interim heads; trailers are checked where the body ends. Continued lines are refused, as RFC 9112, 5.2, allows gateways.

--- a/internal/agent/elmendpointclient/cut_test.go
+++ b/internal/agent/elmendpointclient/cut_test.go
@@ -106,6 +106,11 @@
 		"status 099":              "HTTP/1.1 099 None\r\n",
 		"status 600":              "HTTP/1.1 600 None\r\n",
 		"status 000 as an answer": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n",
+		"blank behind a name":     "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n",
+		"blank before a name":     "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 1\r\n",
+		"blank in a name":         "HTTP/1.1 200 OK\r\nX Y: z\r\n",
+		"tab behind a name":       "HTTP/1.1 200 OK\r\nX\t: y\r\n",
+		"control byte in a name":  "HTTP/1.1 200 OK\r\nX\x01: y\r\n",
 		"switch of protocols":     "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: a\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/forward/elmexchange/malformed_test.go
+++ b/internal/forward/elmexchange/malformed_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/elmcove/elmcove/internal/forward/elmexchange"
+	"github.com/elmcove/elmcove/internal/wire/elmhead"
 )
 
 // wellFormed are responses with the body "hi" that are unusual, but allowed.
@@ -16,6 +17,7 @@
 	"empty value":                "HTTP/1.1 200 OK\r\nX:\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"lines that end with LF":     "HTTP/1.1 200 OK\nFor: 1\nContent-Length: 2\n\nhi",
 	"several interim responses":  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"trailers":                   "HTTP/1.1 200 OK\r\nFor: 1\r\nTrailer: X, Y\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: y\r\n\r\n",
 	"another response before it": "HTTP/1.1 200 OK\r\nFor: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 }
 
@@ -31,6 +33,22 @@
 	"status 000 after an interim one":   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"status 000 after another response": "HTTP/1.1 200 OK\r\nFor: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 000 None\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"status 000 of another response":    "HTTP/1.1 000 None\r\nFor: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"blank behind a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length : 2\r\n\r\nhi",
+	"blank inside a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\nX Y: z\r\nContent-Length: 2\r\n\r\nhi",
+	"blank before a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\n Content-Length: 2\r\n\r\nhi",
+	"blank before the first name":       "HTTP/1.1 200 OK\r\n X: y\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"tab behind a name":                 "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length\t: 2\r\n\r\nhi",
+	"tab before a name":                 "HTTP/1.1 200 OK\r\nFor: 1\r\n\tContent-Length: 2\r\n\r\nhi",
+	"control byte in a name":            "HTTP/1.1 200 OK\r\nFor: 1\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\nhi",
+	"NUL behind a name":                 "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length\x00: 2\r\n\r\nhi",
+	"DEL in a name":                     "HTTP/1.1 200 OK\r\nFor: 1\r\nX\x7f: z\r\nContent-Length: 2\r\n\r\nhi",
+	"CR before a name":                  "HTTP/1.1 200 OK\r\nFor: 1\r\n\rContent-Length: 2\r\n\r\nhi",
+	"CR inside a name":                  "HTTP/1.1 200 OK\r\nFor: 1\r\nX\rY: z\r\nContent-Length: 2\r\n\r\nhi",
+	"no name":                           "HTTP/1.1 200 OK\r\nFor: 1\r\n: z\r\nContent-Length: 2\r\n\r\nhi",
+	"no colon":                          "HTTP/1.1 200 OK\r\nFor: 1\r\nX\r\nContent-Length: 2\r\n\r\nhi",
+	"blank in a name of an interim one": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"blank in a name of another one":    "HTTP/1.1 200 OK\r\nFor: 0\r\nX Y: z\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"blank behind a name in a trailer":  "HTTP/1.1 200 OK\r\nFor: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX : y\r\n\r\n",
 }
 
 // Guards against a response whose head is malformed and that counts as an answer, and
@@ -51,7 +69,8 @@
 			t.Parallel()
 			opened := 0
 			e := newEndpoint(t, []string{response})
-			if got := exchange(t, newClient(&opened), e.address(), request("1")); !errors.Is(got.err, elmexchange.ErrNoResponse) {
+			got := exchange(t, newClient(&opened), e.address(), request("1"))
+			if !errors.Is(got.err, elmexchange.ErrNoResponse) && !errors.Is(got.err, elmhead.ErrMalformed) {
 				t.Errorf("got %+v", got)
 			}
 		})
--- a/internal/forward/elmrouter/malformed_test.go
+++ b/internal/forward/elmrouter/malformed_test.go
@@ -10,6 +10,11 @@
 var malformed = map[string]string{
 	"status 000":               elmscript.Response("000 None", "failed", attemptLine, sealLine, "Content-Length: 6"),
 	"status 000 that promises": elmscript.Response("000 None", "failed", attemptLine, sealLine, "Not-Executed: 1", "Content-Length: 6"),
+	"blank behind a name":      elmscript.Response("200 OK", firstEvents+"id: 3", attemptLine, sealLine, streamLine, "Content-Length : 44"),
+	"blank before a name":      elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X: y", " Content-Length: 3"),
+	"blank in a name":          elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X Y: z", "Content-Length: 6"),
+	"blank in a promise":       elmscript.Response("503 Service Unavailable", "failed", attemptLine, sealLine, "Not-Executed: 1", "X Y: z", "Content-Length: 6"),
+	"control byte in a name":   elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X\x01: z", "Content-Length: 6"),
 	"status 000, as a stream":  elmscript.Response("000 None", firstEvents, attemptLine, sealLine, streamLine),
 }
 
--- a/internal/wire/elmhead/elmhead.go
+++ b/internal/wire/elmhead/elmhead.go
@@ -1,5 +1,7 @@
-// Package elmhead checks the heads of HTTP/1.1 responses for what net/http accepts or repairs,
-// although the head can't be trusted then: a status that is none.
+// Package elmhead checks the heads and trailers of HTTP/1.1 responses for what net/http accepts
+// or repairs, although they can't be trusted then: a status that is none, and names of fields
+// that are no tokens. A line that continues the one before counts as such a name; gateways may
+// reject it (RFC 9112, section 5.2).
 //
 // # Usage
 //
@@ -11,6 +13,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/elmcove/elmcove/internal/wire/elmstatus"
 )
@@ -29,7 +35,8 @@
 	inStatus
 	inReason
 	atLine
-	inLine
+	inName
+	inValue
 	atEnd
 	done
 )
@@ -68,12 +75,14 @@
 		return c.nextOfVersion(b)
 	case inStatus:
 		return c.nextOfStatus(b)
-	case inReason, inLine:
+	case inReason, inValue:
 		if b == '\n' {
 			c.position = atLine
 		}
 	case atLine:
-		c.beginLine(b)
+		return c.beginLine(b)
+	case inName:
+		return c.nextOfName(b)
 	case atEnd:
 		if b != '\n' {
 			return fmt.Errorf("%w: line begins with CR", ErrMalformed)
@@ -113,13 +122,55 @@
 }
 
 // beginLine checks the first byte of a line behind the status line.
-func (c *Checker) beginLine(b byte) {
+func (c *Checker) beginLine(b byte) error {
 	switch b {
 	case '\r':
 		c.position = atEnd
 	case '\n':
 		c.position = done
+	case ':':
+		return fmt.Errorf("%w: field without a name", ErrMalformed)
 	default:
-		c.position = inLine
+		c.position = inName
+		return c.nextOfName(b)
+	}
+	return nil
+}
+
+// nextOfName checks a byte of the name of a field, or the colon behind it.
+func (c *Checker) nextOfName(b byte) error {
+	switch {
+	case b == ':':
+		c.position = inValue
+	case !httpguts.IsTokenRune(rune(b)):
+		return fmt.Errorf("%w: byte %#02x in the name of a field", ErrMalformed, b)
+	}
+	return nil
+}
+
+// GuardTrailers makes the body of a response fail at its end if the trailers are malformed.
+func GuardTrailers(response *http.Response) {
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &guardedBody{response.Body, response}
+	}
+}
+
+// guardedBody is a body in chunks, which trailers may follow.
+type guardedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err //nolint:wrapcheck // As if the body were not guarded.
+	}
+	for name, values := range b.response.Trailer {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return n, fmt.Errorf("%w: trailer %q", ErrMalformed, name)
+		}
 	}
+	return n, err //nolint:wrapcheck // As if the body were not guarded.
 }
--- a/internal/wire/elmresponse/elmresponse.go
+++ b/internal/wire/elmresponse/elmresponse.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse response: %w", err)
 	}
+	elmhead.GuardTrailers(response)
 	return response, nil
 }
 
--- a/internal/wire/elmtransport/elmtransport.go
+++ b/internal/wire/elmtransport/elmtransport.go
@@ -47,7 +47,12 @@
 		}
 	}}
 	ctx := httptrace.WithClientTrace(request.Context(), trace)
-	return t.inner.RoundTrip(request.WithContext(ctx)) //nolint:wrapcheck // The client wraps it.
+	response, err := t.inner.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err //nolint:wrapcheck // The client wraps it.
+	}
+	elmhead.GuardTrailers(response)
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that are not in use.
