Keep routes closed when the last workspace is removed

Cause: a catalog was guarded if it had a workspace, so that an empty list counted as no list at all.

--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -229,6 +229,28 @@
 	}
 }
 
+// Guards against requests that run without a valid credential because the last workspace was
+// removed.
+func TestLastWorkspaceIsRemoved(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, nil)
+	workspaces := `"tenants":[{"apiKeys":["` + credential + `"],"name":"crew","priority":1}]`
+	document := string(configuration(2, credential))
+	if !strings.Contains(document, workspaces) {
+		t.Fatal(document)
+	}
+	f.store.Put("op/config", []byte(strings.Replace(document, workspaces, `"tenants":[]`, 1)))
+	f.eventually("in force", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
+	for _, c := range []string{credential, "never held", ""} {
+		if got := f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Credential": c}); got.status != http.StatusUnauthorized {
+			t.Errorf("credential %q: %+v", c, got)
+		}
+	}
+	if got := f.call(t.Context(), "GET", "/open/a", "", nil); got.status != http.StatusOK {
+		t.Errorf("a public route is refused: %+v", got)
+	}
+}
+
 // TestNeighbourReachesTheStore checks that an entry that the store refuses works
 // with the snapshot of another entry and receives changes from it.
 func TestNeighbourReachesTheStore(t *testing.T) {
--- a/internal/model/elmcatalog/elmcatalog.go
+++ b/internal/model/elmcatalog/elmcatalog.go
@@ -156,7 +156,14 @@
 	return c
 }
 
-// WithWorkspaces returns a catalog with other workspaces.
+// WithGuarded returns a catalog whose routes need a credential, unless they are public, or do
+// not, whether or not there are workspaces that have one.
+func (c Catalog) WithGuarded(guarded bool) Catalog {
+	c.guarded = guarded
+	return c.withRanked()
+}
+
+// WithWorkspaces returns a catalog with other workspaces. If there are any, it is guarded.
 func (c Catalog) WithWorkspaces(workspaces []Workspace) Catalog {
 	c.guarded = len(workspaces) > 0
 	c.workspaces = make(map[string]Workspace, len(workspaces))
