Move resumable streams from endpoints that are silent beside others

Cause: a silent endpoint was left early only if its kernel acknowledged nothing; that of a frozen instance does. In the logs all its attempts end after 2.0 s with event 1404.

Change: if others of the service made progress for a second after the endpoint's last event and after the attempt's last byte, resumable streams move to an endpoint with a free slot, within attempts and the retry budget, and the silent one counts a failure. If all stand still, nothing moves.

--- a/internal/forward/elmexchange/elmexchange.go
+++ b/internal/forward/elmexchange/elmexchange.go
@@ -149,6 +149,8 @@
 	carried []string
 	// heardAt is when bytes last arrived, or the exchange began, since processStart.
 	heardAt atomic.Int64
+	// reading is set while bytes are waited for.
+	reading atomic.Bool
 }
 
 // Read reads from the connection, with a limit while a head is read.
@@ -159,7 +161,9 @@
 			return 0, errHeadTooLong
 		}
 	}
+	c.reading.Store(true)
 	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
 	c.heard()
 	if c.inHead {
 		c.headBytes -= n
--- a/internal/forward/elmexchange/watch.go
+++ b/internal/forward/elmexchange/watch.go
@@ -27,6 +27,14 @@
 	return time.Since(processStart) - time.Duration(w.conn.heardAt.Load())
 }
 
+// IsAwaited reports whether the response is being read, so that a silence is the endpoint's and
+// not that of a caller who does not take what has arrived.
+func (w *Watch) IsAwaited() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.conn != nil && w.conn.reading.Load()
+}
+
 // SetMovable sets whether the request may be sent to another endpoint now. It then counts
 // as failed soon if the endpoint can't be reached, or does not read. Otherwise it waits
 // until its context ends, as it does at first.
--- a/internal/forward/elmplace/elmplace.go
+++ b/internal/forward/elmplace/elmplace.go
@@ -172,6 +172,8 @@
 	// and brokenFor how long it counted as such last.
 	brokenUntil time.Duration
 	brokenFor   time.Duration
+	// progressAt is when the endpoint last made progress.
+	progressAt time.Duration
 }
 
 type peer struct {
--- a/internal/forward/elmplace/groups.go
+++ b/internal/forward/elmplace/groups.go
@@ -25,7 +25,14 @@
 // stream.
 func (p *Placer) RecordProgress(name, id string, now time.Duration) {
 	p.service(name).state.RecordProgress(now)
-	p.endpoint(id).brokenFor = 0
+	e := p.endpoint(id)
+	e.brokenFor, e.progressAt = 0, now
+}
+
+// ProgressLag returns how long its service has gone on making progress without an endpoint,
+// since that last did, but not before a time.
+func (p *Placer) ProgressLag(name, id string, since time.Duration) time.Duration {
+	return p.service(name).state.ProgressAt() - max(p.endpoint(id).progressAt, since)
 }
 
 // HasProgress reports whether an endpoint of a service has made progress lately.
--- a/internal/forward/elmprogress/elmprogress.go
+++ b/internal/forward/elmprogress/elmprogress.go
@@ -77,6 +77,9 @@
 // RecordProgress records that an endpoint has made progress, such as an event of a stream.
 func (s *State) RecordProgress(now time.Duration) { s.progressAt, s.hasProgress = now, true }
 
+// ProgressAt returns when an endpoint last made progress, or 0.
+func (s *State) ProgressAt() time.Duration { return s.progressAt }
+
 // HasProgress reports whether an endpoint of the service has made progress lately.
 func (s *State) HasProgress(now time.Duration) bool {
 	return s.hasProgress && now-s.progressAt < progressWindow
--- a/internal/forward/elmrouter/migrate.go
+++ b/internal/forward/elmrouter/migrate.go
@@ -22,6 +22,9 @@
 	// retransmission, 600 ms after it.
 	minSilence    = 300 * time.Millisecond
 	watchInterval = 150 * time.Millisecond
+	// maxSilence is how long an endpoint is silent before streams leave it: half of the time
+	// after which callers give up on a stream.
+	maxSilence = time.Second
 )
 
 // attempt is one attempt of a request that may continue at another endpoint. The router's
@@ -37,6 +40,8 @@
 	pinned bool
 	// reserved is the endpoint whose slot was taken to continue there, if any.
 	reserved *elmsnapshot.Member
+	// silent means that the attempt leaves its endpoint because that is silent.
+	silent bool
 }
 
 // beginAttempt returns the context of the attempt that is being sent, and what observes its
@@ -75,10 +80,14 @@
 // migrate moves the request to the endpoint whose slot was taken for it, and reports
 // whether there is one. The outcome is that at the endpoint which it leaves.
 func (d *delivery) migrate(outcome elmplace.Outcome) bool {
+	left := d.attempt
 	member := d.endAttempt()
 	if member == nil {
 		return false
 	}
+	if left.silent {
+		outcome = elmplace.Failed
+	}
 	d.release(outcome)
 	d.member, d.slotHeld, d.reserved, d.sentAt = *member, true, true, elmclock.Now()
 	return true
@@ -124,7 +133,9 @@
 func (r *Router) watchSilences(ctx context.Context) {
 	for ctx.Err() == nil {
 		elmclock.Wait(ctx, watchInterval)
-		r.decideSilences(r.follower.Snapshot(), elmclock.Now())
+		snapshot, now := r.follower.Snapshot(), elmclock.Now()
+		r.leaveSilentEndpoints(snapshot, now)
+		r.decideSilences(snapshot, now)
 	}
 }
 
@@ -173,6 +184,26 @@
 	}
 }
 
+// leaveSilentEndpoints moves streams from endpoints that have been silent in all that this entry
+// has from them, while others of their service went on making progress for maxSilence, within the
+// retry budget. A frozen instance acknowledges what it is sent, and goes on with it when its
+// callers have left.
+func (r *Router) leaveSilentEndpoints(snapshot elmsnapshot.Snapshot, now time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for a := range r.attempts {
+		service := a.query.Service.Name
+		if !a.resumable || a.pinned || a.reserved != nil || !a.watch.IsAwaited() ||
+			r.placer.ProgressLag(service, a.member.ID, now-a.watch.Silence()) < maxSilence {
+			continue
+		}
+		if member, ok := r.reserve(a.query, snapshot.Members(service, now), now); ok {
+			a.reserved, a.silent = &member, true
+			a.cancel(errMigrated)
+		}
+	}
+}
+
 // reserve takes a slot at an endpoint that is not slow, and one retry from the retry
 // budget.
 func (r *Router) reserve(q elmplace.Query, members []elmsnapshot.Member, now time.Duration) (elmsnapshot.Member, bool) {
--- a/internal/forward/elmrouter/migrate_test.go
+++ b/internal/forward/elmrouter/migrate_test.go
@@ -1,8 +1,10 @@
 package elmrouter_test
 
 import (
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +39,51 @@
 	}
 }
 
+// Guards against callers who wait at an endpoint that accepts their streams and says nothing
+// more, until they leave, although others of its service make progress.
+func TestStreamsLeaveSilentEndpoint(t *testing.T) {
+	const callers = 8
+	for name, c := range map[string]struct {
+		route string
+		// both means that no endpoint makes progress.
+		both bool
+		// whole are the fewest and the most whole streams.
+		fewest, most int
+	}{
+		"resumable streams":                        {route: "/stream/", fewest: callers, most: callers},
+		"streams that are not resumable":           {route: "/single/", fewest: 1, most: callers - 1},
+		"resumable, but nobody makes any progress": {route: "/stream/", both: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 2, nil)
+			<-time.After(settleTime + time.Second) // The entry uses its share of the budget.
+			f.endpoints[0].QueueBehaviours(slices.Repeat([]stand.Behaviour{stand.Hang}, 2*callers)...)
+			if c.both {
+				f.endpoints[1].ShareBehaviours(f.endpoints[0])
+			}
+			var whole atomic.Int32
+			var wait sync.WaitGroup
+			for i := range callers {
+				wait.Go(func() {
+					<-time.After(time.Duration(i) * 200 * time.Millisecond) // New requests are no sign of life.
+					got := f.call(t.Context(), "POST", c.route+"a?stream=1&pause=300", "", map[string]string{"Deadline-Ms": "4500"})
+					if got.err == nil && got.body == wholeStream {
+						whole.Add(1)
+					}
+				})
+			}
+			wait.Wait()
+			if n := int(whole.Load()); n < c.fewest || n > c.most {
+				t.Errorf("%d of %d streams are whole, want %d to %d; log:\n%s", n, callers, c.fewest, c.most, f.log)
+			}
+			if got := len(f.runs()); c.most < callers && got != callers {
+				t.Errorf("%d requests reached endpoints, want %d", got, callers)
+			}
+		})
+	}
+}
+
 // Guards against a stream that is aborted, after its endpoint has broken it off, because the
 // other endpoint is full for a moment.
 func TestBrokenStreamWaitsForAPlaceElsewhere(t *testing.T) {
