--- a/internal/wire/elmlistener/crowd_test.go
+++ b/internal/wire/elmlistener/crowd_test.go
@@ -16,6 +16,14 @@
 
 // startLimited starts a server whose requests to /wait are served until release is closed.
 func startLimited(t *testing.T, maxConnections int, limits elmmemory.Limits) (address string, account *elmmemory.Account, release chan struct{}) {
+	t.Helper()
+	address, account, release, _ = startObserved(t, maxConnections, limits)
+	return address, account, release
+}
+
+// startObserved is like startLimited, and sends a value each time that a connection has become
+// idle for the server.
+func startObserved(t *testing.T, maxConnections int, limits elmmemory.Limits) (address string, account *elmmemory.Account, release, idled chan struct{}) {
 	t.Helper()
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -27,7 +35,7 @@
 		elmlistener.WithHeadLimits(func() elmlistener.HeadLimits {
 			return elmlistener.HeadLimits{Time: time.Minute, Bytes: 16 << 10}
 		}))
-	release = make(chan struct{})
+	release, idled = make(chan struct{}), make(chan struct{}, 16)
 	server := &http.Server{
 		Handler: elmlistener.ProtectBodies(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -38,11 +46,20 @@
 				<-release
 			}
 		})),
-		ConnState: listener.OnStateChange, ConnContext: elmlistener.ConnContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			listener.OnStateChange(c, state)
+			if state == http.StateIdle {
+				select {
+				case idled <- struct{}{}:
+				default: // The test does not wait for it.
+				}
+			}
+		},
+		ConnContext: elmlistener.ConnContext,
 	}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return inner.Addr().String(), account, release
+	return inner.Addr().String(), account, release, idled
 }
 
 func dialWith(t *testing.T, address, text string) *bufio.Reader {
@@ -71,7 +88,7 @@
 // Guards against a further connection that ends one whose request is being served in place of
 // one that is idle or has stopped.
 func TestMaxConnections(t *testing.T) {
-	address, _, release := startLimited(t, 3, elmmemory.Limits{})
+	address, _, release, idled := startObserved(t, 3, elmmemory.Limits{})
 	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 	served := dialWith(t, address, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
 	stopped := dialWith(t, address, "GET / HT")
@@ -79,11 +96,12 @@
 	if got := status(idle); got != http.StatusOK {
 		t.Fatalf("got %d", got)
 	}
+	<-idled       // A caller may have the answer before the server has noted its end.
 	for range 2 { // The first one ends the idle one, and the second one the first.
 		if got := status(dialWith(t, address, request)); got != http.StatusOK {
 			t.Errorf("further connection: got %d", got)
 		}
-		time.Sleep(100 * time.Millisecond)
+		awaitIdle(t, idled)
 	}
 	if _, err := idle.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("idle connection: %v", err)
@@ -115,11 +133,22 @@
 	if got := status(dialWith(t, address, lines(4000)+"\r\n")); got != http.StatusOK {
 		t.Errorf("head after the other one has stalled: %d", got)
 	}
+	awaitUsed(t, account, func(used int64) bool { return used == 0 })
 	if got := status(dialWith(t, address, lines(8000))); got != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("head over the limit: %d", got)
 	}
 }
 
+// awaitIdle waits until a connection has become idle.
+func awaitIdle(t *testing.T, idled <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-idled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("no connection has become idle")
+	}
+}
+
 // awaitUsed waits until the memory that heads hold meets a condition.
 func awaitUsed(t *testing.T, account *elmmemory.Account, met func(used int64) bool) {
 	t.Helper()
