Say what the readers of responses validate in the terms of HTTP

Read as a newcomer would, comments, errors and test names of the new packages named things in words of their own ("blank", "none of HTTP/1.1"). They now use those of RFC 9110 and 9112.

--- a/internal/agent/elmendpointclient/elmendpointclient.go
+++ b/internal/agent/elmendpointclient/elmendpointclient.go
@@ -116,7 +116,7 @@
 	}
 	defer func() { _ = response.Body.Close() }() // The response is no longer used.
 	if response.StatusCode < http.StatusOK {
-		return Reply{}, fmt.Errorf("%w: %s without a request for it", ErrEndpoint, response.Status)
+		return Reply{}, fmt.Errorf("%w: unexpected status %s", ErrEndpoint, response.Status)
 	}
 	if isRefusal(response.StatusCode, open.GetOnce()) {
 		return Reply{}, fmt.Errorf("%w: %s", ErrRefused, response.Status)
--- a/internal/forward/elmexchange/malformed_test.go
+++ b/internal/forward/elmexchange/malformed_test.go
@@ -12,7 +12,7 @@
 // wellFormed are responses with the body "hi" that are unusual, but allowed.
 var wellFormed = map[string]string{
 	"status without a reason":    "HTTP/1.1 200\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
-	"blanks around a value":      "HTTP/1.1 200 OK\r\nFor:  1 \t\r\nContent-Length:2\r\n\r\nhi",
+	"spaces around a value":      "HTTP/1.1 200 OK\r\nFor:  1 \t\r\nContent-Length:2\r\n\r\nhi",
 	"all characters of a name":   "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09Az: a\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"empty value":                "HTTP/1.1 200 OK\r\nX:\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"lines that end with LF":     "HTTP/1.1 200 OK\nFor: 1\nContent-Length: 2\n\nhi",
@@ -21,7 +21,7 @@
 	"another response before it": "HTTP/1.1 200 OK\r\nFor: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 }
 
-// malformed are the heads of responses that are none.
+// malformed are responses with an invalid head or trailer.
 var malformed = map[string]string{
 	"status 000":                        "HTTP/1.1 000 None\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"status 000 that promises":          "HTTP/1.1 000 None\r\nFor: 1\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nhi",
@@ -33,22 +33,22 @@
 	"status 000 after an interim one":   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"status 000 after another response": "HTTP/1.1 200 OK\r\nFor: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 000 None\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
 	"status 000 of another response":    "HTTP/1.1 000 None\r\nFor: 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
-	"blank behind a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length : 2\r\n\r\nhi",
-	"blank inside a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\nX Y: z\r\nContent-Length: 2\r\n\r\nhi",
-	"blank before a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\n Content-Length: 2\r\n\r\nhi",
-	"blank before the first name":       "HTTP/1.1 200 OK\r\n X: y\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
-	"tab behind a name":                 "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length\t: 2\r\n\r\nhi",
+	"space after a name":                "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length : 2\r\n\r\nhi",
+	"space inside a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\nX Y: z\r\nContent-Length: 2\r\n\r\nhi",
+	"space before a name":               "HTTP/1.1 200 OK\r\nFor: 1\r\n Content-Length: 2\r\n\r\nhi",
+	"space before the first name":       "HTTP/1.1 200 OK\r\n X: y\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"tab after a name":                  "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length\t: 2\r\n\r\nhi",
 	"tab before a name":                 "HTTP/1.1 200 OK\r\nFor: 1\r\n\tContent-Length: 2\r\n\r\nhi",
 	"control byte in a name":            "HTTP/1.1 200 OK\r\nFor: 1\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\nhi",
-	"NUL behind a name":                 "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length\x00: 2\r\n\r\nhi",
+	"NUL after a name":                  "HTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length\x00: 2\r\n\r\nhi",
 	"DEL in a name":                     "HTTP/1.1 200 OK\r\nFor: 1\r\nX\x7f: z\r\nContent-Length: 2\r\n\r\nhi",
 	"CR before a name":                  "HTTP/1.1 200 OK\r\nFor: 1\r\n\rContent-Length: 2\r\n\r\nhi",
 	"CR inside a name":                  "HTTP/1.1 200 OK\r\nFor: 1\r\nX\rY: z\r\nContent-Length: 2\r\n\r\nhi",
 	"no name":                           "HTTP/1.1 200 OK\r\nFor: 1\r\n: z\r\nContent-Length: 2\r\n\r\nhi",
 	"no colon":                          "HTTP/1.1 200 OK\r\nFor: 1\r\nX\r\nContent-Length: 2\r\n\r\nhi",
-	"blank in a name of an interim one": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
-	"blank in a name of another one":    "HTTP/1.1 200 OK\r\nFor: 0\r\nX Y: z\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
-	"blank behind a name in a trailer":  "HTTP/1.1 200 OK\r\nFor: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX : y\r\n\r\n",
+	"space in a name of an interim one": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"space in a name of another one":    "HTTP/1.1 200 OK\r\nFor: 0\r\nX Y: z\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nFor: 1\r\nContent-Length: 2\r\n\r\nhi",
+	"space after a name in a trailer":   "HTTP/1.1 200 OK\r\nFor: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX : y\r\n\r\n",
 }
 
 // Guards against a response whose head is malformed and that counts as an answer, and
--- a/internal/forward/elmrouter/malformed_test.go
+++ b/internal/forward/elmrouter/malformed_test.go
@@ -6,14 +6,14 @@
 	"github.com/elmcove/elmcove/internal/stand/elmscript"
 )
 
-// malformed are responses whose head is none.
+// malformed are responses with an invalid head.
 var malformed = map[string]string{
 	"status 000":               elmscript.Response("000 None", "failed", attemptLine, sealLine, "Content-Length: 6"),
 	"status 000 that promises": elmscript.Response("000 None", "failed", attemptLine, sealLine, "Not-Executed: 1", "Content-Length: 6"),
-	"blank behind a name":      elmscript.Response("200 OK", firstEvents+"id: 3", attemptLine, sealLine, streamLine, "Content-Length : 44"),
-	"blank before a name":      elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X: y", " Content-Length: 3"),
-	"blank in a name":          elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X Y: z", "Content-Length: 6"),
-	"blank in a promise":       elmscript.Response("503 Service Unavailable", "failed", attemptLine, sealLine, "Not-Executed: 1", "X Y: z", "Content-Length: 6"),
+	"space after a name":       elmscript.Response("200 OK", firstEvents+"id: 3", attemptLine, sealLine, streamLine, "Content-Length : 44"),
+	"space before a name":      elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X: y", " Content-Length: 3"),
+	"space in a name":          elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X Y: z", "Content-Length: 6"),
+	"space in a promise":       elmscript.Response("503 Service Unavailable", "failed", attemptLine, sealLine, "Not-Executed: 1", "X Y: z", "Content-Length: 6"),
 	"control byte in a name":   elmscript.Response("200 OK", "failed", attemptLine, sealLine, "X\x01: z", "Content-Length: 6"),
 	"status 000, as a stream":  elmscript.Response("000 None", firstEvents, attemptLine, sealLine, streamLine),
 }
--- a/internal/wire/elmconn/elmconn.go
+++ b/internal/wire/elmconn/elmconn.go
@@ -2,8 +2,8 @@
 // loss first.
 //
 // The kernel reports the error of a lost connection once, to whichever call comes first. If that
-// is a write, reads then see the end of the stream, as if the peer had ended it in order. A
-// response that ends with its connection would count as complete.
+// is a write, reads then see the end of the stream, as if the peer had closed the connection in
+// order. A response that ends with its connection would count as complete.
 //
 // # Usage
 //
@@ -22,7 +22,7 @@
 	"github.com/elmcove/elmcove/internal/wire/elmsocket"
 )
 
-// Conn is a connection whose reads end with io.EOF only if the peer has ended its stream.
+// Conn is a connection whose reads end with io.EOF only if the peer has closed its side.
 type Conn struct {
 	net.Conn
 
@@ -67,7 +67,7 @@
 }
 
 // lostError returns the error of a connection whose reads have come to their end, or nil if the
-// peer has ended its stream.
+// peer has closed its side.
 func (c *Conn) lostError() error {
 	if elmsocket.IsClosed(c) {
 		c.writing.Lock() // A write in progress fails now, and may be the one that has met the loss.
@@ -80,7 +80,7 @@
 }
 
 // isLoss reports whether a write has met the loss of its connection. It fails with EPIPE if
-// the peer had ended its stream before.
+// the peer had closed its side before.
 func isLoss(err error) bool {
 	var code syscall.Errno
 	return errors.As(err, &code) && code != syscall.EPIPE
--- a/internal/wire/elmhead/elmhead.go
+++ b/internal/wire/elmhead/elmhead.go
@@ -1,7 +1,7 @@
-// Package elmhead checks the heads and trailers of HTTP/1.1 responses for what net/http accepts
-// or repairs, although they can't be trusted then: a status that is none, and names of fields
-// that are no tokens. A line that continues the one before counts as such a name; gateways may
-// reject it (RFC 9112, section 5.2).
+// Package elmhead validates the heads and trailers of HTTP/1.1 responses. It rejects what
+// net/http accepts or repairs: status codes outside 100 to 599, and field names that are not
+// tokens. Obsolete line folding counts as an invalid name, since it can't be told from a name
+// that begins with a space; RFC 9112, section 5.2, lets gateways reject it.
 //
 // # Usage
 //
@@ -21,13 +21,13 @@
 	"github.com/elmcove/elmcove/internal/wire/elmstatus"
 )
 
-// ErrMalformed reports a head that is none of HTTP/1.1.
+// ErrMalformed reports a response head that is not valid HTTP/1.1.
 var ErrMalformed = errors.New("malformed head of a response")
 
 // statusDigits is the length of a status code.
 const statusDigits = 3
 
-// position is where in a head the next byte stands.
+// position is the part of a head that the next byte belongs to.
 type position int
 
 const (
@@ -41,21 +41,22 @@
 	done
 )
 
-// Checker checks the head of one response as it arrives, and keeps nothing of it. The zero
+// Checker validates the head of one response as it arrives, without buffering it. The zero
 // value is ready to use.
 type Checker struct {
 	position position
-	// status and digits are the value and the length of the status code so far.
+	// status is the value of the first digits of the status code.
 	status, digits int
 }
 
 // Done reports whether the head is complete.
 func (c *Checker) Done() bool { return c.position == done }
 
-// IsInterim reports whether the response to the request is still to come after this one.
+// IsInterim reports whether the head is that of an interim response.
 func (c *Checker) IsInterim() bool { return elmstatus.Code(c.status).IsInterim() }
 
-// Feed checks the next bytes of the connection. It returns how many of them belong to the head.
+// Feed validates the next bytes of the connection and returns how many of them belong to the
+// head.
 func (c *Checker) Feed(p []byte) (int, error) {
 	for i, b := range p {
 		if c.Done() {
@@ -68,7 +69,7 @@
 	return len(p), nil
 }
 
-// next checks one byte.
+// next validates one byte.
 func (c *Checker) next(b byte) error {
 	switch c.position {
 	case inVersion:
@@ -85,25 +86,26 @@
 		return c.nextOfName(b)
 	case atEnd:
 		if b != '\n' {
-			return fmt.Errorf("%w: line begins with CR", ErrMalformed)
+			return fmt.Errorf("%w: CR without LF", ErrMalformed)
 		}
 		c.position = done
 	}
 	return nil
 }
 
-// nextOfVersion checks a byte up to the blank that precedes the status.
+// nextOfVersion validates a byte up to the space before the status code.
 func (c *Checker) nextOfVersion(b byte) error {
 	switch b {
 	case ' ':
 		c.position = inStatus
 	case '\n':
-		return fmt.Errorf("%w: line without status", ErrMalformed)
+		return fmt.Errorf("%w: no status code", ErrMalformed)
 	}
 	return nil
 }
 
-// nextOfStatus checks a byte of the status, of further blanks before it, or the one behind it.
+// nextOfStatus validates a byte of the status code, a further space before it, or the byte after
+// it.
 func (c *Checker) nextOfStatus(b byte) error {
 	switch {
 	case b == ' ' && c.digits == 0:
@@ -113,15 +115,15 @@
 		c.digits++
 		return nil
 	case c.digits < statusDigits || b != ' ' && b != '\r' && b != '\n':
-		return fmt.Errorf("%w: status has not three digits", ErrMalformed)
+		return fmt.Errorf("%w: status code does not have three digits", ErrMalformed)
 	case !elmstatus.Code(c.status).IsValid():
-		return fmt.Errorf("%w: %03d is no status", ErrMalformed, c.status)
+		return fmt.Errorf("%w: status code %03d is out of range", ErrMalformed, c.status)
 	}
 	c.position = inReason
 	return c.next(b)
 }
 
-// beginLine checks the first byte of a line behind the status line.
+// beginLine validates the first byte of a line after the status line.
 func (c *Checker) beginLine(b byte) error {
 	switch b {
 	case '\r':
@@ -129,7 +131,7 @@
 	case '\n':
 		c.position = done
 	case ':':
-		return fmt.Errorf("%w: field without a name", ErrMalformed)
+		return fmt.Errorf("%w: empty field name", ErrMalformed)
 	default:
 		c.position = inName
 		return c.nextOfName(b)
@@ -137,13 +139,13 @@
 	return nil
 }
 
-// nextOfName checks a byte of the name of a field, or the colon behind it.
+// nextOfName validates a byte of a field name, or the colon after it.
 func (c *Checker) nextOfName(b byte) error {
 	switch {
 	case b == ':':
 		c.position = inValue
 	case !httpguts.IsTokenRune(rune(b)):
-		return fmt.Errorf("%w: byte %#02x in the name of a field", ErrMalformed, b)
+		return fmt.Errorf("%w: byte %#02x in a field name", ErrMalformed, b)
 	}
 	return nil
 }
--- a/internal/wire/elmresponse/elmresponse.go
+++ b/internal/wire/elmresponse/elmresponse.go
@@ -1,5 +1,5 @@
 // Package elmresponse reads the responses of a connection one after the other. Each head is
-// checked before net/http parses it, also if it came together with the response before.
+// validated before net/http parses it, also if it arrived together with the response before.
 //
 // # Usage
 //
@@ -22,7 +22,7 @@
 type Reader struct {
 	source io.Reader
 	buffer *bufio.Reader
-	// unread holds a checked head, and what arrived with it, until the buffer takes it.
+	// unread holds a validated head, and what arrived with it, until the buffer takes it.
 	unread *bytes.Reader
 }
 
--- a/internal/wire/elmsocket/elmsocket.go
+++ b/internal/wire/elmsocket/elmsocket.go
@@ -43,8 +43,9 @@
 // stateClosed is the state of a connection that was reset or timed out (TCP_CLOSE).
 const stateClosed = 7
 
-// IsClosed reports whether an open socket has no connection any more, so that writes fail at
-// once. It is false while the peer has only ended its stream, or if the state is not known.
+// IsClosed reports whether the connection of an open socket was reset or has timed out, so that
+// writes fail at once. It is false if the peer has only closed its side, or if the state is not
+// known.
 func IsClosed(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
--- a/internal/wire/elmstatus/elmstatus.go
+++ b/internal/wire/elmstatus/elmstatus.go
@@ -10,10 +10,10 @@
 // Code is the status code of a response.
 type Code int
 
-// IsValid reports whether the code is a status of HTTP (RFC 9110, section 15).
+// IsValid reports whether the code is in the range of RFC 9110, section 15.
 func (c Code) IsValid() bool { return c >= 100 && c < 600 }
 
-// IsInterim reports whether the final response is still to come.
+// IsInterim reports whether a final response follows on the same connection.
 func (c Code) IsInterim() bool {
 	return c >= 100 && c < 200 && c != http.StatusSwitchingProtocols
 }
--- a/internal/wire/elmtransport/elmtransport.go
+++ b/internal/wire/elmtransport/elmtransport.go
@@ -1,11 +1,12 @@
-// Package elmtransport is net/http's client with strict checks of what it receives: a response
-// whose head is malformed is an error, interim responses included.
+// Package elmtransport is net/http's client transport with strict validation of responses: one
+// with a malformed head or trailer is an error, and so is an interim one. A reset of the
+// connection is never the end of a body.
 //
 // # Usage
 //
 //	client := &http.Client{Transport: elmtransport.New(&http.Transport{MaxIdleConnsPerHost: 1})}
 //
-// Connections with TLS are read by net/http alone.
+// Responses over TLS are not validated.
 package elmtransport
 
 import (
@@ -19,7 +20,7 @@
 	"github.com/elmcove/elmcove/internal/wire/elmhead"
 )
 
-// Transport is an http.Transport with strict checks. It is safe for concurrent use.
+// Transport is an http.Transport with strict validation. It is safe for concurrent use.
 type Transport struct{ inner *http.Transport }
 
 // New returns a Transport with the options of an http.Transport.
@@ -58,16 +59,16 @@
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.inner.CloseIdleConnections() }
 
-// conn checks the head of the response to each request.
+// conn validates the head of the response to each request.
 type conn struct {
 	net.Conn
 
 	mutex sync.Mutex
-	// checker checks the head that is expected, or is nil.
+	// checker validates the head that is expected, or is nil.
 	checker *elmhead.Checker
 }
 
-// expectHead starts to check the response to a request that is about to be sent.
+// expectHead starts to validate the response to a request that is about to be sent.
 func (c *conn) expectHead() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -80,10 +81,10 @@
 	if malformed := c.check(p[:n]); malformed != nil {
 		return 0, malformed
 	}
-	return n, err //nolint:wrapcheck // As if the connection were not checked.
+	return n, err //nolint:wrapcheck // As if the connection were not wrapped.
 }
 
-// check checks the received bytes that belong to heads.
+// check validates the received bytes that belong to heads.
 func (c *conn) check(received []byte) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/wire/elmtransport/elmtransport_test.go
+++ b/internal/wire/elmtransport/elmtransport_test.go
@@ -54,11 +54,11 @@
 		"status 600":                      "HTTP/1.1 600 None\r\nContent-Length: 2\r\n\r\nhi",
 		"status with a sign":              "HTTP/1.1 +20 None\r\nContent-Length: 2\r\n\r\nhi",
 		"status 000 before a sound one":   "HTTP/1.1 000 None\r\n\r\n" + ok,
-		"blank behind a name":             "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhi",
-		"blank before a name":             "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n\r\nhi",
+		"space after a name":              "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhi",
+		"space before a name":             "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n\r\nhi",
 		"control byte in a name":          "HTTP/1.1 200 OK\r\nX\x01: y\r\nContent-Length: 2\r\n\r\nhi",
-		"blank in an interim response":    "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + ok,
-		"blank in a trailer":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX : y\r\n\r\n",
+		"space in an interim response":    "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + ok,
+		"space in a trailer":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX : y\r\n\r\n",
 		"status 000 after an interim one": interim + "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nhi",
 	} {
 		t.Run(name, func(t *testing.T) {
