TestMaxConnections: bound the first wait for an idle connection too

It waited without a limit, beside its twin that has one: a failure would have shown as the timeout of the package. Green with the race detector, linter 0 issues.

--- a/internal/wire/elmlistener/crowd_test.go
+++ b/internal/wire/elmlistener/crowd_test.go
@@ -96,8 +96,8 @@
 	if got := status(idle); got != http.StatusOK {
 		t.Fatalf("got %d", got)
 	}
-	<-idled       // A caller may have the answer before the server has noted its end.
-	for range 2 { // The first one ends the idle one, and the second one the first.
+	awaitIdle(t, idled) // A caller may have the answer before the server has noted its end.
+	for range 2 {       // The first one ends the idle one, and the second one the first.
 		if got := status(dialWith(t, address, request)); got != http.StatusOK {
 			t.Errorf("further connection: got %d", got)
 		}
