--- a/internal/forward/elmrouter/deliver.go
+++ b/internal/forward/elmrouter/deliver.go
@@ -275,23 +275,17 @@
 		d.release(outcome)
 		return elmlifecycle.Rejected{NoRetry: d.groupBroken() || !d.takeRetry()}
 	case !responseInfo.Sealed || responseInfo.Encoded:
-		d.cause = refusalError{d.response.Status, "response is unsealed or encoded"}
-		d.release(elmplace.Failed)
-		return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
+		return d.loseResponse("response is unsealed or encoded")
 	case resumed && !d.continuesStream():
-		d.cause = refusalError{d.response.Status, "response does not continue the stream"}
-		d.release(elmplace.Failed)
-		return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
+		return d.loseResponse("response does not continue the stream")
 	case d.response.Status >= http.StatusInternalServerError && d.route.Kind == elmcatalog.Idempotent && d.reserve():
 		d.cause = refusalError{d.response.Status, "endpoint failed the request"}
 		d.response.Discard()
 		d.migrate(elmplace.Failed)
 		return elmlifecycle.ResponseLost{}
 	case elmstatus.Code(d.response.Status).PromisesNotRun(): // The endpoint itself does not say so.
-		d.cause = refusalError{d.response.Status, "endpoint may have run the request that it refused"}
 		d.response.Discard()
-		d.release(elmplace.Failed)
-		return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
+		return d.loseResponse("endpoint may have run the request that it refused")
 	}
 	if !resumed {
 		if err := d.readFirst(); err != nil {
@@ -307,6 +301,14 @@
 	return elmlifecycle.HeadersReceived{}
 }
 
+// loseResponse ends the attempt because its response can't be used, and returns the message for
+// that.
+func (d *delivery) loseResponse(reason string) elmlifecycle.Message {
+	d.cause = refusalError{d.response.Status, reason}
+	d.release(elmplace.Failed)
+	return elmlifecycle.ResponseLost{NoRetry: !d.takeRetryIfRetryable()}
+}
+
 // continuesStream reports whether the response is an event stream with the status that
 // the caller has.
 func (d *delivery) continuesStream() bool {
