Compare an endpoint with its service only while that goes on

After a whole group had stood still for a second or more, the first endpoint that went on made all others look silent for as long: their resumable streams moved, within the retry budget, although nothing was wrong with them.

The lag of an endpoint now counts from the service's last interruption, half a second without progress at any endpoint.

TestProgressLag: the first endpoint after a pause of 3 s gave the others a lag of 3.1 s before, and gives 0 now; while others go on, the lag is the same as before.

--- a/internal/forward/elmplace/groups.go
+++ b/internal/forward/elmplace/groups.go
@@ -30,9 +30,9 @@
 }
 
 // ProgressLag returns how long its service has gone on making progress without an endpoint,
-// since that last did, but not before a time.
+// since that last did, but not before a time or the service's last interruption.
 func (p *Placer) ProgressLag(name, id string, since time.Duration) time.Duration {
-	return p.service(name).state.ProgressAt() - max(p.endpoint(id).progressAt, since)
+	return p.service(name).state.ProgressSince(max(p.endpoint(id).progressAt, since))
 }
 
 // HasProgress reports whether an endpoint of a service has made progress lately.
--- a/internal/forward/elmplace/stall_test.go
+++ b/internal/forward/elmplace/stall_test.go
@@ -71,3 +71,35 @@
 		})
 	}
 }
+
+// Guards against streams that leave sound endpoints after their whole group stood still: the
+// first endpoint that goes on makes the others look silent for as long as that took.
+func TestProgressLag(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		// pause is a time during which no endpoint makes progress, and other the time for which
+		// only others do after it.
+		pause, other time.Duration
+		want         time.Duration
+	}{
+		"others go on":                             {other: 1200 * time.Millisecond, want: 1200 * time.Millisecond},
+		"short pause, others go on":                {pause: 300 * time.Millisecond, other: 900 * time.Millisecond, want: 1200 * time.Millisecond},
+		"group stood still, another goes on first": {pause: 3 * time.Second, other: interval},
+		"group stood still, others go on":          {pause: 3 * time.Second, other: 1200 * time.Millisecond, want: 1100 * time.Millisecond},
+		"group stands still":                       {pause: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, now := newPlacer(), time.Second
+			p.RecordProgress("draft", "e0", now)
+			p.RecordProgress("draft", "e1", now)
+			now += c.pause
+			for range c.other / interval {
+				now += interval
+				p.RecordProgress("draft", "e1", now)
+			}
+			if got := p.ProgressLag("draft", "e0", 0); max(got, 0) != c.want {
+				t.Errorf("lag %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/forward/elmprogress/elmprogress.go
+++ b/internal/forward/elmprogress/elmprogress.go
@@ -27,6 +27,10 @@
 	// stallProbes is the number of requests that a stalled group may have from an entry,
 	// which show that it makes progress again.
 	stallProbes = 2
+	// interruption is the time without progress after which a service counts as having begun
+	// anew. It is several times the longest pass, and half of the silence for which streams
+	// leave an endpoint.
+	interruption = 500 * time.Millisecond
 )
 
 // State is the state of a service. It is not safe for concurrent use.
@@ -34,8 +38,10 @@
 	// brokenSetAt is when isBroken was last set.
 	brokenSetAt time.Duration
 	isBroken    bool
-	// progressAt is when an endpoint last made progress.
+	// progressAt is when an endpoint last made progress, and steadySince when one did first
+	// after the last interruption.
 	progressAt  time.Duration
+	steadySince time.Duration
 	hasProgress bool
 	// open is the number of this entry's requests, and openSince when it was last 0.
 	open      int
@@ -75,10 +81,18 @@
 func (s *State) IsBroken(now time.Duration) bool { return s.isBroken && now-s.brokenSetAt < BrokenTTL }
 
 // RecordProgress records that an endpoint has made progress, such as an event of a stream.
-func (s *State) RecordProgress(now time.Duration) { s.progressAt, s.hasProgress = now, true }
+func (s *State) RecordProgress(now time.Duration) {
+	if !s.hasProgress || now-s.progressAt >= interruption {
+		s.steadySince = now
+	}
+	s.progressAt, s.hasProgress = now, true
+}
 
-// ProgressAt returns when an endpoint last made progress, or 0.
-func (s *State) ProgressAt() time.Duration { return s.progressAt }
+// ProgressSince returns how long after a time the service has made progress without an
+// interruption. After an interruption its endpoints need not go on at the same time.
+func (s *State) ProgressSince(since time.Duration) time.Duration {
+	return s.progressAt - max(s.steadySince, since)
+}
 
 // HasProgress reports whether an endpoint of the service has made progress lately.
 func (s *State) HasProgress(now time.Duration) bool {
