Validate responses over TLS as well

A client whose platform is behind https took a response with the status 000, or with a space in the name of a field, as an answer: only plain connections were wrapped, since net/http does the handshake itself. The transport now does it and wraps the connection that it returns. HTTP/2 was off before as well, since the transport has its own dialer. Left: TLS through a proxy.

TestResponsesOverTLS: both malformed responses were answers before.

--- a/internal/wire/elmtransport/elmtransport.go
+++ b/internal/wire/elmtransport/elmtransport.go
@@ -6,11 +6,13 @@
 //
 //	client := &http.Client{Transport: elmtransport.New(&http.Transport{MaxIdleConnsPerHost: 1})}
 //
-// Responses over TLS are not validated.
+// Responses over TLS that come through a proxy are not validated.
 package elmtransport
 
 import (
 	"context"
+	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -37,9 +39,42 @@
 		}
 		return &conn{Conn: elmconn.New(dialed)}, nil
 	}
+	inner.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialed, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured, err := secure(ctx, elmconn.New(dialed), address, inner.TLSClientConfig)
+		if err != nil {
+			_ = dialed.Close() // The handshake's error counts.
+			return nil, err
+		}
+		return &conn{Conn: secured}, nil
+	}
 	return &Transport{inner: inner}
 }
 
+// secure begins TLS on a connection to an address. The name in the peer's certificate is that of
+// the options, if any, and otherwise the host of the address.
+func secure(ctx context.Context, plain net.Conn, address string, options *tls.Config) (net.Conn, error) {
+	config := options.Clone()
+	if config == nil {
+		config = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, fmt.Errorf("name of the TLS peer: %w", err)
+		}
+		config.ServerName = host
+	}
+	secured := tls.Client(plain, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, fmt.Errorf("TLS handshake: %w", err)
+	}
+	return secured, nil
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
--- a/internal/wire/elmtransport/elmtransport_test.go
+++ b/internal/wire/elmtransport/elmtransport_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -100,3 +101,46 @@
 		})
 	}
 }
+
+// Guards against responses that are not validated because they come over TLS.
+func TestResponsesOverTLS(t *testing.T) {
+	for name, c := range map[string]struct {
+		response  string
+		malformed bool
+	}{
+		"status 000":         {"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nhi", true},
+		"space after a name": {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhi", true},
+		"well formed":        {interim + ok, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				hijacked, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer hijacked.Close() //nolint:errcheck // The response was written.
+				_, _ = io.WriteString(hijacked, c.response)
+			}))
+			defer server.Close()
+			options, _ := server.Client().Transport.(*http.Transport)
+			client := &http.Client{Transport: elmtransport.New(options), Timeout: 10 * time.Second}
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, http.NoBody)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := client.Do(request)
+			if errors.Is(err, elmhead.ErrMalformed) != c.malformed || (err == nil) == c.malformed {
+				t.Errorf("error %v", err)
+			}
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close() // It was read to its end.
+			if err != nil || string(body) != "hi" {
+				t.Errorf("got %q, error %v", body, err)
+			}
+		})
+	}
+}
