Tell crashes of an endpoint that restarts before it is listed

Requests that crash endpoints reached up to six of them after the third crash (bound 3): a second crash under the incarnation that is still listed replaced the notice on the first one. A request that was sent after a crash of the same incarnation has met a later one, whose crash now has a key of its own.

TestJudge checks that unlisted crashes count, and that one which another entry knows as listed counts once.

--- a/internal/forward/elmcrash/elmcrash.go
+++ b/internal/forward/elmcrash/elmcrash.go
@@ -44,14 +44,28 @@
 	// minRequestCrashes is the number of crashes that prove a request guilty that was
 	// never cleared.
 	minRequestCrashes = 3
+	// noticeSpread is the time within which entries notice the same crash. It is shorter than
+	// the restart of an endpoint.
+	noticeSpread = int64(time.Second/time.Millisecond) / 4
 )
 
 // Crash is the crash of one incarnation of an endpoint, with the signatures that were in
 // flight there.
 type Crash struct {
-	Endpoint   string
-	At         int64
-	Signatures []elmsignature.Signature
+	// Endpoint identifies the incarnation, and ID the endpoint whatever its incarnation.
+	Endpoint, ID string
+	At           int64
+	Signatures   []elmsignature.Signature
+	// IsUnlisted means that the entry knows the incarnation only as one after that of an
+	// earlier crash. Other entries may know what it is.
+	IsUnlisted bool
+}
+
+// merge returns the crash with what another entry saw of it.
+func (c Crash) merge(other Crash) Crash {
+	c.At = min(c.At, other.At)
+	c.Signatures = slices.Concat(c.Signatures, other.Signatures)
+	return c
 }
 
 // Detector keeps the clearances that this entry has seen, and judges signatures. It is
@@ -198,16 +212,39 @@
 			continue
 		}
 		if m, ok := merged[c.Endpoint]; ok {
-			c = Crash{Endpoint: c.Endpoint, At: min(m.At, c.At), Signatures: slices.Concat(m.Signatures, c.Signatures)}
+			c = m.merge(c)
 		}
-		c.Signatures = slices.Compact(slices.Sorted(slices.Values(c.Signatures)))
 		merged[c.Endpoint] = c
 	}
+	for name, c := range merged {
+		if same, ok := findListed(merged, c); ok {
+			merged[same] = merged[same].merge(c)
+			delete(merged, name)
+		}
+	}
+	for name, c := range merged {
+		c.Signatures = slices.Compact(slices.Sorted(slices.Values(c.Signatures)))
+		merged[name] = c
+	}
 	return slices.SortedFunc(maps.Values(merged), func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 }
 
+// findListed returns the name under which an entry that knows the incarnation of an unlisted
+// crash has seen the same crash, if there is one.
+func findListed(crashes map[string]Crash, unlisted Crash) (string, bool) {
+	if !unlisted.IsUnlisted {
+		return "", false
+	}
+	for name, c := range crashes {
+		if !c.IsUnlisted && c.ID == unlisted.ID && max(c.At-unlisted.At, unlisted.At-c.At) <= noticeSpread {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // weigh collects the evidence on a signature. Crashes do not count that a guilty signature
 // with more crashes explains. Against a signature that was ever cleared, those do not count
 // either that any guilty one explains, or to which others may still object.
--- a/internal/forward/elmcrash/elmcrash_test.go
+++ b/internal/forward/elmcrash/elmcrash_test.go
@@ -39,6 +39,15 @@
 	return list
 }
 
+// unlisted returns the crashes of an endpoint that restarts before its incarnations are listed.
+func unlisted(segments string, times ...int64) []elmcrash.Crash {
+	list := []elmcrash.Crash{{Endpoint: "e0@1", ID: "e0", At: times[0], Signatures: signatures(segments)}}
+	for i, t := range times[1:] {
+		list = append(list, elmcrash.Crash{Endpoint: fmt.Sprintf("e0@1+%d", i+1), ID: "e0", At: t, Signatures: signatures(segments), IsUnlisted: true})
+	}
+	return list
+}
+
 // Guards against segments that crash endpoints and are not found, and against sound
 // segments that are in flight at crashes and are blamed for them.
 func TestJudge(t *testing.T) {
@@ -50,11 +59,18 @@
 		guilty    string
 		suspects  string
 	}{
-		"no crash":                                 {},
-		"two crashes of a new segment":             {crashes: crashesAt("p", 1000, 6000), suspects: "p"},
-		"three bursts under a new segment":         {crashes: crashesAt("p", 1000, 6000, 11000), guilty: "p", suspects: "p"},
-		"two bursts of three and one":              {crashes: crashesAt("p", 1000, 1001, 1002, 6000), guilty: "p", suspects: "p"},
-		"one burst of any size":                    {crashes: crashesAt("p", 1000, 1001, 1002, 1003, 1004, 1500), suspects: "p"},
+		"no crash":                         {},
+		"two crashes of a new segment":     {crashes: crashesAt("p", 1000, 6000), suspects: "p"},
+		"three bursts under a new segment": {crashes: crashesAt("p", 1000, 6000, 11000), guilty: "p", suspects: "p"},
+		"two bursts of three and one":      {crashes: crashesAt("p", 1000, 1001, 1002, 6000), guilty: "p", suspects: "p"},
+		"one burst of any size":            {crashes: crashesAt("p", 1000, 1001, 1002, 1003, 1004, 1500), suspects: "p"},
+		"three crashes of an endpoint that restarts unlisted": {
+			crashes: unlisted("p", 1000, 6000, 11000), guilty: "p", suspects: "p",
+		},
+		"unlisted crash that another entry saw as listed": {
+			crashes:  append(unlisted("p", 1000, 6000), elmcrash.Crash{Endpoint: "e0@2", ID: "e0", At: 6100, Signatures: signatures("p")}),
+			suspects: "p",
+		},
 		"one crash that two entries saw":           {crashes: append(crashesAt("p", 1000), crashesAt("p", 1000)...)},
 		"beside one that was cleared before":       {crashes: crashesAt("a p", 1000, 6000, 11000), cleared: map[elmsignature.Signature][]int64{"a": {500}}, guilty: "p", suspects: "a p"},
 		"beside one that was cleared elsewhere":    {crashes: crashesAt("a p", 1000, 6000, 11000), elsewhere: map[elmsignature.Signature][]int64{"a": {2000, 7000}}, guilty: "p", suspects: "a p"},
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -123,9 +123,11 @@
 	broken map[string]struct{}
 	// lost holds the endpoints that are being checked for a crash, by ID.
 	// stalled holds the services whose groups make no progress.
-	stalled  map[string]bool
-	lost     map[string]*lostResponses
-	detector *elmcrash.Detector
+	stalled map[string]bool
+	lost    map[string]*lostResponses
+	// crashMarks holds the last crashes of endpoints, by ID.
+	crashMarks map[string]crashMark
+	detector   *elmcrash.Detector
 	// applied holds the notices on endpoints that were applied, by key. Only
 	// watchNotices uses it.
 	applied map[string]string
@@ -161,6 +163,7 @@
 		shares:          newShareState(settings.Instance),
 		stalled:         map[string]bool{},
 		lost:            map[string]*lostResponses{},
+		crashMarks:      map[string]crashMark{},
 		detector:        elmcrash.New(time.Now().UnixMilli()),
 		applied:         map[string]string{},
 		quarantinedAt:   map[elmsignature.Signature]time.Duration{},
