Keep the marks of crashes in a file of their own

A crash notice is parsed in one place, and says how many crashes of incarnations that are not listed came before it. No change of behaviour: the tests of crashes pass.

--- a/internal/forward/elmcrash/elmcrash.go
+++ b/internal/forward/elmcrash/elmcrash.go
@@ -56,9 +56,9 @@
 	Endpoint, ID string
 	At           int64
 	Signatures   []elmsignature.Signature
-	// IsUnlisted means that the entry knows the incarnation only as one after that of an
-	// earlier crash. Other entries may know what it is.
-	IsUnlisted bool
+	// Unlisted is 0 if the entry knows the incarnation, and otherwise the number of crashes
+	// since that of the incarnation which it knows. Other entries may know the later one.
+	Unlisted int
 }
 
 // merge returns the crash with what another entry saw of it.
@@ -234,11 +234,11 @@
 // findListed returns the name under which an entry that knows the incarnation of an unlisted
 // crash has seen the same crash, if there is one.
 func findListed(crashes map[string]Crash, unlisted Crash) (string, bool) {
-	if !unlisted.IsUnlisted {
+	if unlisted.Unlisted == 0 {
 		return "", false
 	}
 	for name, c := range crashes {
-		if !c.IsUnlisted && c.ID == unlisted.ID && max(c.At-unlisted.At, unlisted.At-c.At) <= noticeSpread {
+		if c.Unlisted == 0 && c.ID == unlisted.ID && max(c.At-unlisted.At, unlisted.At-c.At) <= noticeSpread {
 			return name, true
 		}
 	}
--- a/internal/forward/elmcrash/elmcrash_test.go
+++ b/internal/forward/elmcrash/elmcrash_test.go
@@ -43,7 +43,7 @@
 func unlisted(segments string, times ...int64) []elmcrash.Crash {
 	list := []elmcrash.Crash{{Endpoint: "e0@1", ID: "e0", At: times[0], Signatures: signatures(segments)}}
 	for i, t := range times[1:] {
-		list = append(list, elmcrash.Crash{Endpoint: fmt.Sprintf("e0@1+%d", i+1), ID: "e0", At: t, Signatures: signatures(segments), IsUnlisted: true})
+		list = append(list, elmcrash.Crash{Endpoint: fmt.Sprintf("e0@1+%d", i+1), ID: "e0", At: t, Signatures: signatures(segments), Unlisted: i + 1})
 	}
 	return list
 }
--- a/internal/forward/elmrouter/crash.go
+++ b/internal/forward/elmrouter/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -38,9 +37,6 @@
 	crashKey      = "crash/"
 	clearanceKey  = "cleared/"
 	quarantineKey = "quarantine/"
-	// unlistedMark follows the incarnation of an earlier crash if that of the next one is not
-	// listed yet, and the number of crashes since then follows it.
-	unlistedMark = "+"
 )
 
 // crashNotice is the value of a crash notice.
@@ -60,15 +56,6 @@
 	Until int64 `json:"until"`
 }
 
-// crashMark is the last crash of an endpoint that this entry knows of.
-type crashMark struct {
-	incarnation string
-	at          time.Duration
-	// unlisted is the number of crashes since that of the incarnation, each of one that was not
-	// listed yet.
-	unlisted int
-}
-
 // lostResponses are the requests that lost their responses at an endpoint, until it is
 // known whether the endpoint has crashed.
 type lostResponses struct {
@@ -137,57 +124,6 @@
 	r.post(crashKey+r.markCrash(l)+"/"+r.settings.Instance, crashNotice{At: time.Now().UnixMilli(), Signatures: signatures}, elmcrash.Window)
 }
 
-// markCrash records a crash that this entry has seen, and returns the text that identifies what
-// has crashed. A request that was sent after the crash of the same incarnation has met a later
-// one, which is not listed yet.
-func (r *Router) markCrash(l *lostResponses) string {
-	now, listed := elmclock.Now(), incarnation(l.member)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	mark := r.crashMarks[l.member.ID]
-	switch {
-	case mark.incarnation != listed:
-		mark = crashMark{incarnation: listed}
-	case l.sentAt > mark.at:
-		mark.unlisted++
-	}
-	mark.at = now
-	r.crashMarks[l.member.ID] = mark
-	if mark.unlisted == 0 {
-		return listed
-	}
-	return listed + unlistedMark + strconv.Itoa(mark.unlisted)
-}
-
-// learnCrashes records the crashes that entries have shared, and forgets old ones.
-func (r *Router) learnCrashes(crashes []elmcrash.Crash, wall int64, now time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	maps.DeleteFunc(r.crashMarks, func(_ string, m crashMark) bool { return now-m.at > elmcrash.Window })
-	for _, c := range crashes {
-		listed, unlisted := c.Endpoint, 0
-		if i := strings.LastIndex(listed, unlistedMark); c.IsUnlisted {
-			unlisted, _ = strconv.Atoi(listed[i+1:]) // A number that can't be read says nothing.
-			listed = listed[:i]
-		}
-		mark, at := r.crashMarks[c.ID], now-time.Duration(wall-c.At)*time.Millisecond
-		switch {
-		case mark.incarnation == listed:
-			r.crashMarks[c.ID] = crashMark{incarnation: listed, at: max(mark.at, at), unlisted: max(mark.unlisted, unlisted)}
-		case at > mark.at:
-			r.crashMarks[c.ID] = crashMark{incarnation: listed, at: at, unlisted: unlisted}
-		}
-	}
-}
-
-// decodeCrash decodes a notice on a crash.
-func decodeCrash(incarnation, value string) elmcrash.Crash {
-	n := decodeNotice[crashNotice](value)
-	at := max(0, strings.LastIndexByte(incarnation, '@'))
-	isUnlisted := strings.Contains(incarnation[at:], unlistedMark)
-	return elmcrash.Crash{Endpoint: incarnation, ID: incarnation[:at], At: n.At, Signatures: n.Signatures, IsUnlisted: isUnlisted}
-}
-
 // clearSignatures records that an endpoint wrote a response on signatures and lives, or
 // that it had begun to.
 func (r *Router) clearSignatures(written, begun []elmsignature.Signature) {
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -121,10 +121,10 @@
 	attempts map[*attempt]struct{}
 	// broken holds the services whose groups are polled because they are broken.
 	broken map[string]struct{}
-	// lost holds the endpoints that are being checked for a crash, by ID.
 	// stalled holds the services whose groups make no progress.
 	stalled map[string]bool
-	lost    map[string]*lostResponses
+	// lost holds the endpoints that are being checked for a crash, by ID.
+	lost map[string]*lostResponses
 	// crashMarks holds the last crashes of endpoints, by ID.
 	crashMarks map[string]crashMark
 	detector   *elmcrash.Detector
