Repeat the read of a configuration change while the service is unavailable

elmcove apply failed at a single read that took over 500 ms, with nothing written; only the write was repeated. The read is now repeated for as long as the write.

TestChangeIsRepeatedWhileItsOutcomeIsUnknown: the two new cases failed before ("service unavailable" after 0.0 and 0.5 s), all six pass now.

--- a/internal/config/elmsite/elmsite.go
+++ b/internal/config/elmsite/elmsite.go
@@ -44,9 +44,10 @@
 var ErrSite = errors.New("site")
 
 const (
-	// changeTimeout is how long the write of a change is repeated while its outcome is unknown.
+	// changeTimeout is how long a read for a change, and its write, are repeated while the store is
+	// unavailable.
 	changeTimeout = 10 * time.Second
-	// retryDelay is the time between two writes.
+	// retryDelay is the time between two reads or writes.
 	retryDelay = 250 * time.Millisecond
 )
 
@@ -126,7 +127,7 @@
 // Change applies an edit to the accepted configuration and returns the change
 // with its revision. It returns a Conflict if another change was accepted first.
 func (s *Site) Change(ctx context.Context, change elmconfig.Change, edit Edit) (elmconfig.Change, error) {
-	current, err := s.read(ctx)
+	current, err := repeat(ctx, s.read)
 	if err != nil {
 		return change, err
 	}
@@ -160,10 +161,15 @@
 // swap writes a value if the current version of the key is expect, and repeats that while
 // the outcome is unknown.
 func (s *Site) swap(ctx context.Context, key string, expect int64, data []byte) (elmstore.Result, error) {
+	return repeat(ctx, func(ctx context.Context) (elmstore.Result, error) { return s.store.Swap(ctx, key, expect, data) })
+}
+
+// repeat repeats a call to the store for changeTimeout while the store is unavailable.
+func repeat[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	for {
-		result, err := s.store.Swap(ctx, key, expect, data)
+		result, err := call(ctx)
 		if !errors.Is(err, elmstore.ErrUnavailable) || ctx.Err() != nil {
 			return result, err
 		}
--- a/internal/config/elmsite/elmsite_test.go
+++ b/internal/config/elmsite/elmsite_test.go
@@ -13,18 +13,22 @@
 )
 
 // Guards against an operator's change that fails because the key-value service gives no reply
-// in time once, as beside heavy load (TestOutWithFrozenEntry).
+// in time once, as beside heavy load (TestOutWithFrozenEntry), to the read before it or to its write.
 func TestChangeIsRepeatedWhileItsOutcomeIsUnknown(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
 		fault elmplatform.Fault
 		lasts time.Duration
-		want  error
+		// read means that the fault begins before the read.
+		read bool
+		want error
 	}{
-		"service down for a moment": {fault: elmplatform.FaultDown, lasts: time.Second},
-		"replies lost for a moment": {fault: elmplatform.FaultLostReplies, lasts: time.Second},
-		"service slow for a moment": {fault: elmplatform.FaultSlow, lasts: time.Second},
-		"service down":              {fault: elmplatform.FaultDown, lasts: time.Minute, want: elmstore.ErrUnavailable},
+		"service down for a moment":                 {fault: elmplatform.FaultDown, lasts: time.Second},
+		"replies lost for a moment":                 {fault: elmplatform.FaultLostReplies, lasts: time.Second},
+		"service slow for a moment":                 {fault: elmplatform.FaultSlow, lasts: time.Second},
+		"service down for a moment before the read": {fault: elmplatform.FaultDown, lasts: time.Second, read: true},
+		"service slow for a moment before the read": {fault: elmplatform.FaultSlow, lasts: time.Second, read: true},
+		"service down":                              {fault: elmplatform.FaultDown, lasts: time.Minute, want: elmstore.ErrUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -37,8 +41,13 @@
 			}
 			timer := time.AfterFunc(c.lasts, func() { platform.SetFault(elmplatform.FaultNone) })
 			t.Cleanup(func() { timer.Stop() })
-			_, err = site.Change(t.Context(), elmconfig.Change{ID: "c1"}, func(current elmconfig.Config) (elmconfig.Config, error) {
+			if c.read {
 				platform.SetFault(c.fault)
+			}
+			_, err = site.Change(t.Context(), elmconfig.Change{ID: "c1"}, func(current elmconfig.Config) (elmconfig.Config, error) {
+				if !c.read {
+					platform.SetFault(c.fault)
+				}
 				return current, nil
 			})
 			if !errors.Is(err, c.want) {
