Keep routes closed when the list of workspaces is null or missing

Cause: whether routes need a credential followed from the document alone, and a document that says nothing of workspaces counted as permission to serve everybody.

Change: routes need a credential unless the contracts in the settings are there, do not name workspaces, and the configuration has no list. A list that is null counts as a list. Catalogs are closed unless they say otherwise, and Document.next alone decides.

Of TestLastWorkspaceIsRemoved, "null" and "no list" failed before the change with three 200s each, and pass now.

--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -124,6 +124,12 @@
 	}
 }
 
+// WithOptionalWorkspaces sets whether a configuration without a list of workspaces opens all
+// routes.
+func WithOptionalWorkspaces(optional bool) Option {
+	return func(f *Follower) { f.document = f.document.WithOptionalWorkspaces(optional) }
+}
+
 // WithUrgency sets a function that reports whether changes must be known as soon as they
 // are made, whatever the calls to the store cost.
 func WithUrgency(urgent func() bool) Option {
--- a/internal/forward/elmrouter/elmrouter.go
+++ b/internal/forward/elmrouter/elmrouter.go
@@ -190,7 +190,8 @@
 	r.board = elmnotice.New(r.store, settings.MinLeaseTTL, logger)
 	r.peers = elmpeers.New(r.internalAddress(), settings.Seeds)
 	r.follower = elmfollower.New(r.store, logger, elmfollower.WithPeers(r.peers.FetchSnapshots), elmfollower.WithSharedReader(r.readFromEntry),
-		elmfollower.WithGrace(settings.Bounds.LeaveDelay, settings.Bounds.WithdrawDelay), elmfollower.WithUrgency(r.exceedsColdLimit), elmfollower.WithChanged(r.wakeAll))
+		elmfollower.WithGrace(settings.Bounds.LeaveDelay, settings.Bounds.WithdrawDelay), elmfollower.WithUrgency(r.exceedsColdLimit), elmfollower.WithChanged(r.wakeAll),
+		elmfollower.WithOptionalWorkspaces(settings.OptionalWorkspaces))
 	r.exchange = elmexchange.New(elmexchange.WithAttemptOf(func(h http.Header) string {
 		return platform.ReadResponseInfo(http.StatusOK, h).Attempt
 	}), elmexchange.WithOpened(func(string) { r.meter.Count("elmcove_connections_total", "to", "endpoint") }))
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -230,24 +230,33 @@
 }
 
 // Guards against requests that run without a valid credential because the last workspace was
-// removed.
+// removed, whatever the operator's tool writes for a list without elements.
 func TestLastWorkspaceIsRemoved(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, 1, nil)
-	workspaces := `"tenants":[{"apiKeys":["` + credential + `"],"name":"crew","priority":1}]`
-	document := string(configuration(2, credential))
-	if !strings.Contains(document, workspaces) {
-		t.Fatal(document)
-	}
-	f.store.Put("op/config", []byte(strings.Replace(document, workspaces, `"tenants":[]`, 1)))
-	f.eventually("in force", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
-	for _, c := range []string{credential, "never held", ""} {
-		if got := f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Credential": c}); got.status != http.StatusUnauthorized {
-			t.Errorf("credential %q: %+v", c, got)
-		}
-	}
-	if got := f.call(t.Context(), "GET", "/open/a", "", nil); got.status != http.StatusOK {
-		t.Errorf("a public route is refused: %+v", got)
+	const list = `"tenants":[{"apiKeys":["` + credential + `"],"name":"crew","priority":1}]`
+	for name, section := range map[string]string{
+		"empty list": `"tenants":[]`,
+		"null":       `"tenants":null`,
+		"no list":    `"others":[]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1, nil)
+			document := string(configuration(2, credential))
+			if !strings.Contains(document, list) {
+				t.Fatal(document)
+			}
+			f.store.Put("op/config", []byte(strings.Replace(document, list, section, 1)))
+			f.eventually("in force", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
+			for _, c := range []string{credential, "never held", ""} {
+				if got := f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Credential": c}); got.status != http.StatusUnauthorized {
+					t.Errorf("credential %q: %+v", c, got)
+				}
+			}
+			if got := f.call(t.Context(), "GET", "/open/a", "", nil); got.status != http.StatusOK {
+				t.Errorf("a public route is refused: %+v", got)
+			}
+		})
 	}
 }
 
--- a/internal/forward/elmrouter/explain.go
+++ b/internal/forward/elmrouter/explain.go
@@ -110,7 +110,7 @@
 	}
 	info := platform.ReadRequestInfo(asked.Header)
 	result.Priority, result.TimeLimit = route.Priority, effectiveTimeout(route.Timeout, info.Deadline)
-	if catalog.RequiresCredentials() && !route.Public {
+	if catalog.RequiresCredential(route) {
 		if result.Age > time.Duration(float64(r.settings.Bounds.RevokeDelay)*credentialAgeRatio) {
 			return refusalError{http.StatusServiceUnavailable, reasonStale}
 		}
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -143,7 +143,7 @@
 		return a, retryableIfStale(age, refusalError{http.StatusNotFound, reasonRoute})
 	}
 	a.priority = a.route.Priority
-	if catalog.RequiresCredentials() && !a.route.Public {
+	if catalog.RequiresCredential(a.route) {
 		if age > time.Duration(float64(r.settings.Bounds.RevokeDelay)*credentialAgeRatio) {
 			return a, refusalError{http.StatusServiceUnavailable, reasonStale}
 		}
--- a/internal/model/elmcatalog/elmcatalog.go
+++ b/internal/model/elmcatalog/elmcatalog.go
@@ -60,7 +60,7 @@
 	Attempts int
 	// Priority is the priority of the route. 0 is the most urgent.
 	Priority int
-	// Public routes need no credential.
+	// Public routes need no credential in any catalog.
 	Public bool
 	// Resumable means that a stream may be resumed at another endpoint.
 	Resumable bool
@@ -129,14 +129,14 @@
 	routes     []*Route
 	services   map[string]Service
 	workspaces map[string]Workspace
-	// guarded means that routes need a credential unless they are public.
-	guarded bool
-	limits  Limits
+	// open means that no route needs a credential.
+	open   bool
+	limits Limits
 	// ranked returns the services that Ranked reports.
 	ranked func() map[string][]Rank
 }
 
-// New returns a catalog. If there are no workspaces, no route needs a credential.
+// New returns a catalog whose routes need a credential unless they are public.
 func New(version int64, routes []*Route, services []Service, workspaces []Workspace, limits Limits) (Catalog, error) {
 	return Catalog{}.WithVersion(version, limits).WithServices(services).WithWorkspaces(workspaces).WithRoutes(nil, routes)
 }
@@ -156,16 +156,18 @@
 	return c
 }
 
-// WithGuarded returns a catalog whose routes need a credential, unless they are public, or do
-// not, whether or not there are workspaces that have one.
-func (c Catalog) WithGuarded(guarded bool) Catalog {
-	c.guarded = guarded
+// WithOpen returns a catalog of which no route needs a credential, or whose routes need one
+// unless they are public. Whether there are workspaces does not matter.
+func (c Catalog) WithOpen(open bool) Catalog {
+	if c.open == open {
+		return c
+	}
+	c.open = open
 	return c.withRanked()
 }
 
-// WithWorkspaces returns a catalog with other workspaces. If there are any, it is guarded.
+// WithWorkspaces returns a catalog with other workspaces.
 func (c Catalog) WithWorkspaces(workspaces []Workspace) Catalog {
-	c.guarded = len(workspaces) > 0
 	c.workspaces = make(map[string]Workspace, len(workspaces))
 	for _, w := range workspaces {
 		for _, credential := range w.Credentials {
@@ -240,8 +242,8 @@
 // Limits returns the limits for callers.
 func (c Catalog) Limits() Limits { return c.limits }
 
-// RequiresCredentials reports whether routes need a credential unless they are public.
-func (c Catalog) RequiresCredentials() bool { return c.guarded }
+// RequiresCredential reports whether requests on a route need a credential.
+func (c Catalog) RequiresCredential(route Route) bool { return !c.open && !route.Public }
 
 // Match returns the route of a host with the longest prefix of a path, which is compared as
 // the caller has sent it: an escaped slash is part of a segment. It ignores a port in the host.
--- a/internal/model/elmcatalog/ranks.go
+++ b/internal/model/elmcatalog/ranks.go
@@ -23,7 +23,7 @@
 // Ranks returns the ranks of the requests of each service whose requests with a credential
 // differ in rank. Other services are missing.
 func (c Catalog) Ranks() map[string][]Rank {
-	if !c.guarded {
+	if c.open {
 		return nil
 	}
 	kinds := map[kind]struct{}{} // Many routes are of few kinds.
