Admit nobody by an empty credential or to a workspace without a name

With "apiKeys":[""], requests without Credential ran as that workspace: 6 of 6.

Cause: the catalog took each name and credential as written, and a missing credential of a caller is read as the empty one. null in a list of credentials is decoded as empty, too.

Change: Catalog.WithWorkspaces ignores both, and event 1101 counts them. The other workspaces hold, as the other entries do when an endpoint's entry is malformed.

TestEmptyValuesAdmitNobody: five of five cases failed before the change, four of them with 200s, one for the missing count; they pass now. Two cases of TestRanked name their workspaces now, since they are about priorities.

--- a/internal/forward/elmfollower/apply.go
+++ b/internal/forward/elmfollower/apply.go
@@ -180,7 +180,7 @@
 		changed := f.document.Changed()
 		f.logger.Event(elmlog.ConfigAdopted, "version", n.Version, "revision", revision,
 			"routes", changed.Routes, "services", changed.Services, "workspaces", changed.Workspaces,
-			"bytes", f.build.bytes, "took", f.build.took, "skipped", f.build.skipped)
+			"ignored", f.document.Catalog().Ignored(), "bytes", f.build.bytes, "took", f.build.took, "skipped", f.build.skipped)
 	case elmsnapshot.Appeared:
 		e := n.Endpoint
 		f.logger.Event(elmlog.EndpointListed, "endpoint", e.ID, "service", e.Service, "address", e.Address, "cold", e.ColdRemaining, "revision", revision)
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -260,6 +260,38 @@
 	}
 }
 
+// Guards against callers without a credential who are admitted by an empty one in the
+// configuration, and against requests that reach endpoints without the name of their workspace.
+func TestEmptyValuesAdmitNobody(t *testing.T) {
+	t.Parallel()
+	for name, workspace := range map[string]string{
+		"empty credential":      `{"name":"crew","apiKeys":["other",""]}`,
+		"null for a credential": `{"name":"crew","apiKeys":["other",null]}`,
+		"empty name":            `{"name":"","apiKeys":["` + credential + `"]},{"name":"crew","apiKeys":["other"]}`,
+		"no name":               `{"apiKeys":["` + credential + `"]},{"name":"crew","apiKeys":["other"]}`,
+		"null for a workspace":  `null,{"name":"crew","apiKeys":["other"]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1, nil)
+			document := strings.Replace(string(configuration(2, credential)), `{"apiKeys":["`+credential+`"],"name":"crew","priority":1}`, workspace, 1)
+			f.store.Put("op/config", []byte(document))
+			f.eventually("in force", func() bool { return strings.Contains(f.log.String(), `"version":2`) })
+			for _, c := range []string{credential, ""} {
+				if got := f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Credential": c}); got.status != http.StatusUnauthorized {
+					t.Errorf("credential %q: %+v", c, got)
+				}
+			}
+			if got := f.call(t.Context(), "POST", "/once/a", "", map[string]string{"Credential": "other"}); got.status != http.StatusOK {
+				t.Errorf("the workspace beside it is refused: %+v", got)
+			}
+			if !strings.Contains(f.log.String(), `"ignored":1`) {
+				t.Error("the log does not tell that something was ignored")
+			}
+		})
+	}
+}
+
 // TestNeighbourReachesTheStore checks that an entry that the store refuses works
 // with the snapshot of another entry and receives changes from it.
 func TestNeighbourReachesTheStore(t *testing.T) {
--- a/internal/model/elmcatalog/elmcatalog.go
+++ b/internal/model/elmcatalog/elmcatalog.go
@@ -129,6 +129,8 @@
 	routes     []*Route
 	services   map[string]Service
 	workspaces map[string]Workspace
+	// ignored is the number of workspaces and credentials that WithWorkspaces has ignored.
+	ignored int
 	// open means that no route needs a credential.
 	open   bool
 	limits Limits
@@ -166,11 +168,21 @@
 	return c.withRanked()
 }
 
-// WithWorkspaces returns a catalog with other workspaces.
+// WithWorkspaces returns a catalog with other workspaces. It ignores workspaces without a name,
+// which endpoints could not be told, and empty credentials, which callers without one would have.
 func (c Catalog) WithWorkspaces(workspaces []Workspace) Catalog {
 	c.workspaces = make(map[string]Workspace, len(workspaces))
+	c.ignored = 0
 	for _, w := range workspaces {
+		if w.Name == "" {
+			c.ignored++
+			continue
+		}
 		for _, credential := range w.Credentials {
+			if credential == "" {
+				c.ignored++
+				continue
+			}
 			c.workspaces[credential] = w
 		}
 	}
@@ -284,6 +296,10 @@
 	return w, ok
 }
 
+// Ignored returns the number of workspaces without a name and of empty credentials, which admit
+// nobody.
+func (c Catalog) Ignored() int { return c.ignored }
+
 // NamedWorkspace returns a workspace by its name.
 func (c Catalog) NamedWorkspace(name string) (Workspace, bool) {
 	for _, w := range c.workspaces {
--- a/internal/model/elmcatalog/ranked_test.go
+++ b/internal/model/elmcatalog/ranked_test.go
@@ -21,9 +21,9 @@
 		"different routes":             {priorities: []int{0, 1}, workspaces: plain, ranked: true},
 		"different public route":       {priorities: []int{0, 1}, public: true, workspaces: plain},
 		"no credentials":               {priorities: []int{0, 1}},
-		"different workspaces":         {priorities: []int{1}, workspaces: []elmcatalog.Workspace{{Priority: &one, Credentials: []string{"a"}}, {Priority: &two, Credentials: []string{"b"}}}, ranked: true},
-		"workspace with the route's":   {priorities: []int{1}, workspaces: append(plain, elmcatalog.Workspace{Priority: &one, Credentials: []string{"b"}})},
-		"workspace unlike the route's": {priorities: []int{1}, workspaces: append(plain, elmcatalog.Workspace{Priority: &two, Credentials: []string{"b"}}), ranked: true},
+		"different workspaces":         {priorities: []int{1}, workspaces: []elmcatalog.Workspace{{Name: "x", Priority: &one, Credentials: []string{"a"}}, {Name: "y", Priority: &two, Credentials: []string{"b"}}}, ranked: true},
+		"workspace with the route's":   {priorities: []int{1}, workspaces: append(plain, elmcatalog.Workspace{Name: "x", Priority: &one, Credentials: []string{"b"}})},
+		"workspace unlike the route's": {priorities: []int{1}, workspaces: append(plain, elmcatalog.Workspace{Name: "x", Priority: &two, Credentials: []string{"b"}}), ranked: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var routes []*elmcatalog.Route
