Let reads confirm a configuration only if it is the newest

Cause: the age of a credential counted from the last read, whatever that had shown. A read that finds a newer configuration which the process can't use confirms nothing about the one in force. A document without a version counted as an old one, in silence.

Admission, "elmcove route" and the choice between 401 or 404 and 503 use it. Entries hand on the revision of a newest configuration that they can't use, so that others don't confirm theirs through them. A document without a version above 0 is refused. Events 1103 and 1104 tell when this begins and ends. Public routes are served on, and the entry stays ready.

The case "no version" of TestAdoptedVersions expected no event; it expects 1102 now, as for other documents that can't be used.

--- a/internal/forward/elmexplain/elmexplain.go
+++ b/internal/forward/elmexplain/elmexplain.go
@@ -65,6 +65,8 @@
 	Datacentre string        `json:"datacentre"`
 	Version    int64         `json:"version"`
 	Age        time.Duration `json:"ageNs"`
+	// ConfigAge is the time since the configuration was known to be the newest.
+	ConfigAge time.Duration `json:"configAgeNs"`
 	// Entries is the number of entries that share limits.
 	Entries       int        `json:"entries"`
 	LearnedLimits bool       `json:"learnedLimits"`
@@ -147,8 +149,8 @@
 	if r.LearnedLimits {
 		learned = "on"
 	}
-	fmt.Fprintf(&b, "entry      %s in %s, configuration %d, state %v old, limits shared by %d entries, learned limits %s\n",
-		r.Entry, r.Datacentre, r.Version, r.Age.Round(time.Millisecond), r.Entries, learned)
+	fmt.Fprintf(&b, "entry      %s in %s, configuration %d (the newest %v ago), state %v old, limits shared by %d entries, learned limits %s\n",
+		r.Entry, r.Datacentre, r.Version, r.ConfigAge.Round(time.Millisecond), r.Age.Round(time.Millisecond), r.Entries, learned)
 	if r.Route != nil {
 		fmt.Fprintf(&b, "route      %s (%s), prefix %s, priority %d, timeout %v, objective %v, attempts %d\n",
 			r.Route.Name, r.Route.Kind, r.Route.Prefix, r.Route.Priority, r.Route.Timeout, r.Route.Objective, r.Route.Attempts)
--- a/internal/forward/elmfollower/adopt_test.go
+++ b/internal/forward/elmfollower/adopt_test.go
@@ -37,7 +37,7 @@
 		"breaks off after later one":   {[][]string{{document(5)}, {document(6), cut}}, []int64{5, 6}, 1},
 		"breaks off, then none":        {[][]string{{document(5)}, {cut}, {}}, []int64{5}, 1},
 		"first one breaks off":         {[][]string{{cut}, {document(2)}}, []int64{2}, 1},
-		"no version":                   {[][]string{{document(5)}, {`{"routes":[]}`}}, []int64{5}, 0},
+		"no version":                   {[][]string{{document(5)}, {`{"routes":[]}`}}, []int64{5}, 1},
 		"version can't be read":        {[][]string{{document(5)}, {`{"version":`}}, []int64{5}, 1},
 		"repeated route":               {[][]string{{document(5)}, {`{"version":9,"routes":[{"host":"h"},{"host":"h"}]}`}}, []int64{5}, 1},
 		"same version, something else": {[][]string{{document(5)}, {`{"version":5}`}}, []int64{5}, 0},
--- a/internal/forward/elmfollower/apply.go
+++ b/internal/forward/elmfollower/apply.go
@@ -34,6 +34,8 @@
 	}
 	f.recordRead(read.Sent)
 	config, changed := f.adoptConfig(items)
+	newest, before := f.nextNewest(read, items, config), f.newest
+	read.ConfigOutdated = newest.unusable
 	read.Received, read.Changes = elmclock.Now(), f.decodeChanges(items)
 	if changed {
 		read.Changes = append(read.Changes, elmsnapshot.Configured{Catalog: f.document.Catalog()})
@@ -41,8 +43,10 @@
 	next, notices := snapshot.Update(read)
 	f.mutex.Lock()
 	f.updateItems(items, read.Full, config)
+	f.newest = newest
 	f.snapshot.Store(&next)
 	f.mutex.Unlock()
+	f.logNewest(before)
 	for _, n := range notices {
 		f.logNotice(n, next)
 	}
--- a/internal/forward/elmfollower/elmfollower.go
+++ b/internal/forward/elmfollower/elmfollower.go
@@ -87,13 +87,15 @@
 	// document is the configuration in force.
 	document platform.Document
 	build    build
+	// newest is the newest configuration that the store is known to have.
+	newest newestConfig
 	// refused is the hash of the last configuration that could not be decoded.
 	refused uint64
 	// failedAt is when the last call to the store that failed was sent, or 0 if this process
 	// or a peer is known to have read it since.
 	failedAt time.Duration
 
-	// mutex guards items, which only Run writes, together with the snapshot.
+	// mutex guards items and newest, which only Run writes, together with the snapshot.
 	mutex sync.Mutex
 	items map[string]platform.Item
 }
--- a/internal/forward/elmfollower/peers.go
+++ b/internal/forward/elmfollower/peers.go
@@ -14,8 +14,8 @@
 )
 
 // readShared applies what another entry has read. It returns false if there is no
-// such entry or its snapshot is too old, however new that of this process is; this process
-// then reads the store itself.
+// such entry, if its snapshot is too old, however new that of this process is, or if it can't use
+// a configuration that this process may be able to use; this process then reads the store itself.
 func (f *Follower) readShared(ctx context.Context) bool {
 	before := f.Snapshot()
 	if !before.HasConfig() {
@@ -23,7 +23,7 @@
 	}
 	started := elmclock.Now()
 	s, ok := f.reader(ctx, before.Position())
-	if !ok || positionOf(s).Before(before.Position()) {
+	if !ok || positionOf(s).Before(before.Position()) || f.newest.isBeforeUnusable(s.GetEra(), s.GetUnusableConfig()) {
 		return false
 	}
 	sent := started - time.Duration(s.GetAgeMs())*time.Millisecond
@@ -45,6 +45,7 @@
 	s := &elmpeer.Snapshot{
 		Era: position.Era, Revision: position.Revision,
 		AgeMs: snapshot.Age(now).Milliseconds(), RelistMs: snapshot.RelistRemaining(now).Milliseconds(),
+		UnusableConfig: f.newest.unusableRevision(),
 	}
 	if !after.Before(position) {
 		return s
@@ -94,11 +95,11 @@
 func (f *Follower) applyPeerSnapshot(s *elmpeer.Snapshot, sent time.Duration, after elmsnapshot.Position) {
 	if !after.Before(positionOf(s)) {
 		f.recordRead(sent)
-		next, _ := f.Snapshot().Update(elmsnapshot.Confirmed{Sent: sent})
+		next, _ := f.Snapshot().Update(elmsnapshot.Confirmed{Sent: sent, ConfigOutdated: f.newest.unusable})
 		f.snapshot.Store(&next)
 		return
 	}
-	source := elmsnapshot.Peer{RelistFor: time.Duration(s.GetRelistMs()) * time.Millisecond}
+	source := elmsnapshot.Peer{RelistFor: time.Duration(s.GetRelistMs()) * time.Millisecond, UnusableConfig: s.GetUnusableConfig()}
 	f.apply(elmsnapshot.Read{Sent: sent, Source: source, Position: positionOf(s), Full: true}, f.completeItems(s))
 }
 
--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -260,6 +260,46 @@
 	}
 }
 
+// Guards against credentials that are taken for longer than the revocation limit although the newest
+// configuration, which may have revoked them, is missing or can't be read.
+func TestUnusableConfigurationTakesNoCredential(t *testing.T) {
+	t.Parallel()
+	whole := string(configuration(2, "other"))
+	for name, text := range map[string]string{
+		"workspaces are no list": `{"version":2,"tenants":{}}`,
+		"credentials no list":    strings.Replace(whole, `["other"]`, `"none"`, 1),
+		"breaks off":             whole[:len(whole)-20],
+		"no version":             strings.Replace(whole, `"version":2`, `"others":2`, 1),
+		"missing":                "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1, func(s *platform.Settings) { s.Bounds.RevokeDelay = 3500 * time.Millisecond })
+			if text == "" {
+				f.store.Delete("op/config")
+			} else {
+				f.store.Put("op/config", []byte(text))
+			}
+			written := time.Now()
+			f.eventually("refused", func() bool {
+				got := f.call(t.Context(), "POST", "/once/a", "", nil)
+				return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+			})
+			if elapsed := time.Since(written); elapsed > f.settings.Bounds.RevokeDelay {
+				t.Errorf("the credential was taken for %v", elapsed)
+			}
+			if got := f.call(t.Context(), "GET", "/open/a", "", nil); got.status != http.StatusOK {
+				t.Errorf("a public route is refused: %+v", got)
+			}
+			if got := f.status("http://" + f.settings.Readiness + platform.ReadinessPath); got != http.StatusOK {
+				t.Errorf("readiness %d", got)
+			}
+			f.store.Put("op/config", configuration(3, credential))
+			f.eventually("served", func() bool { return f.call(t.Context(), "POST", "/once/a", "", nil).status == http.StatusOK })
+		})
+	}
+}
+
 // Guards against callers without a credential who are admitted by an empty one in the
 // configuration, and against requests that reach endpoints without the name of their workspace.
 func TestEmptyValuesAdmitNobody(t *testing.T) {
--- a/internal/forward/elmrouter/explain.go
+++ b/internal/forward/elmrouter/explain.go
@@ -59,7 +59,7 @@
 	entries := r.placer.Entries()
 	r.mutex.Unlock()
 	result := elmexplain.Result{
-		Entry: r.settings.Instance, Datacentre: r.settings.Datacentre, Version: catalog.Version(), Age: snapshot.Age(now),
+		Entry: r.settings.Instance, Datacentre: r.settings.Datacentre, Version: catalog.Version(), Age: snapshot.Age(now), ConfigAge: snapshot.ConfigAge(now),
 		Entries: entries, LearnedLimits: r.learns, MaxHeaderBytes: limits.HeaderBytes, MaxBodyBytes: limits.BodyBytes,
 	}
 	err := r.explainAdmission(&result, question, asked, snapshot)
@@ -102,7 +102,7 @@
 	}
 	route, ok := catalog.Match(asked.Host, asked.URL.EscapedPath())
 	if !ok {
-		return retryableIfStale(result.Age, refusalError{http.StatusNotFound, reasonRoute})
+		return retryableIfStale(result.ConfigAge, refusalError{http.StatusNotFound, reasonRoute})
 	}
 	result.Route = &elmexplain.Route{
 		Name: route.Name, Prefix: route.Prefix, Kind: [...]string{"non-idempotent", "idempotent", "stream"}[route.Kind], Priority: route.Priority,
@@ -111,12 +111,12 @@
 	info := platform.ReadRequestInfo(asked.Header)
 	result.Priority, result.TimeLimit = route.Priority, effectiveTimeout(route.Timeout, info.Deadline)
 	if catalog.RequiresCredential(route) {
-		if result.Age > time.Duration(float64(r.settings.Bounds.RevokeDelay)*credentialAgeRatio) {
+		if result.ConfigAge > time.Duration(float64(r.settings.Bounds.RevokeDelay)*credentialAgeRatio) {
 			return refusalError{http.StatusServiceUnavailable, reasonStale}
 		}
 		workspace, known := workspaceOf(catalog, question, info)
 		if !known {
-			return retryableIfStale(result.Age, refusalError{http.StatusUnauthorized, reasonCredential})
+			return retryableIfStale(result.ConfigAge, refusalError{http.StatusUnauthorized, reasonCredential})
 		}
 		result.Workspace = &elmexplain.Workspace{Name: workspace.Name, Priority: workspace.Priority}
 		if workspace.Priority != nil {
--- a/internal/forward/elmrouter/serve.go
+++ b/internal/forward/elmrouter/serve.go
@@ -96,7 +96,7 @@
 		if errors.As(err, &refused) {
 			limitWriting(w, writeMargin)
 			limitReading(w, request, r.discardTime())
-			r.refuse(w, request, requestInfo, refused, snapshot.Age(began), elmclock.Now()-began)
+			r.refuse(w, request, requestInfo, refused, snapshot.ConfigAge(began), elmclock.Now()-began)
 		}
 		return
 	}
@@ -136,7 +136,7 @@
 		return a, refusalError{http.StatusServiceUnavailable, reasonUnknownConfig}
 	}
 	catalog := snapshot.Catalog()
-	age := snapshot.Age(began)
+	age := snapshot.ConfigAge(began)
 	var ok bool
 	a.route, ok = catalog.Match(request.Host, request.URL.EscapedPath())
 	if !ok {
--- a/internal/forward/elmsnapshot/elmsnapshot.go
+++ b/internal/forward/elmsnapshot/elmsnapshot.go
@@ -5,7 +5,8 @@
 // The package does no input or output: Update takes a message and returns the
 // next Snapshot and the notices that describe what changed. Times come from a
 // clock that also runs while the system is suspended. The age of a snapshot is
-// counted from when the read that it comes from was sent.
+// counted from when the read that it comes from was sent. The age of the configuration
+// is counted from the last read that has shown it to be the newest one.
 //
 // # Usage
 //
@@ -16,6 +17,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -37,6 +39,8 @@
 	// retainTime is the time within which the owners of keys that the store has lost
 	// write them again.
 	retainTime = 10 * time.Second
+	// neverSent is the time of a read that has not taken place.
+	neverSent = math.MinInt64 / 2 * time.Nanosecond
 )
 
 // Member is an endpoint and its local state in the snapshot.
@@ -63,8 +67,11 @@
 	// systemKeys holds the values of the system's own keys.
 	systemKeys map[string]string
 	// sent is when the newest answered read was sent.
-	sent     time.Duration
-	position Position
+	sent time.Duration
+	// configSent is when the newest read was sent that showed the configuration in effect to
+	// be the newest one.
+	configSent time.Duration
+	position   Position
 	// retainUntil is the time until which a full read in a new era removes no withdrawals
 	// and system keys, because the owners of lost ones write them again.
 	retainUntil time.Duration
@@ -77,7 +84,7 @@
 }
 
 // New returns an empty snapshot, as of a process that has not read the store yet.
-func New() Snapshot { return Snapshot{} }
+func New() Snapshot { return Snapshot{configSent: neverSent} }
 
 // WithGrace returns a snapshot with two grace periods: for leave after an endpoint
 // began to leave, and for withdraw after a data centre was withdrawn, requests that
@@ -105,6 +112,10 @@
 // Age returns the time since the newest answered read was sent.
 func (s Snapshot) Age(now time.Duration) time.Duration { return now - s.sent }
 
+// ConfigAge returns the time since the newest read was sent that showed the configuration in
+// effect to be the newest one. It exceeds Age while a newer one can't be used.
+func (s Snapshot) ConfigAge(now time.Duration) time.Duration { return now - s.configSent }
+
 // Withdrawn reports whether a data centre is withdrawn and gets no requests.
 func (s Snapshot) Withdrawn(datacentre string) bool {
 	_, ok := s.withdrawn[datacentre]
@@ -180,8 +191,7 @@
 	case Read:
 		return s.read(m)
 	case Confirmed:
-		s.sent = max(s.sent, m.Sent)
-		return s, nil
+		return s.withSent(m.Sent, m.ConfigOutdated), nil
 	}
 	return s, nil
 }
@@ -238,8 +248,17 @@
 	if m.Full {
 		notices = append(notices, next.dropMissing(m.Sent, afterOutage, listed)...)
 	}
-	next.sent, next.position, next.known = max(s.sent, m.Sent), m.Position, true
-	return next, notices
+	next.position, next.known = m.Position, true
+	return next.withSent(m.Sent, m.ConfigOutdated), notices
+}
+
+// withSent returns the snapshot after a read that was sent at a time.
+func (s Snapshot) withSent(sent time.Duration, configOutdated bool) Snapshot {
+	s.sent = max(s.sent, sent)
+	if !configOutdated {
+		s.configSent = max(s.configSent, sent)
+	}
+	return s
 }
 
 // retains reports whether the owners of keys that the store has lost may not have
--- a/internal/forward/elmsnapshot/elmsnapshot_test.go
+++ b/internal/forward/elmsnapshot/elmsnapshot_test.go
@@ -196,6 +196,38 @@
 	}
 }
 
+// Guards against a configuration that seems new because of reads that have shown another one to be
+// the newest.
+func TestConfigAge(t *testing.T) {
+	read := func(sent time.Duration, outdated bool) elmsnapshot.Read {
+		return elmsnapshot.Read{Sent: sent, Position: elmsnapshot.Position{Revision: int64(sent)}, ConfigOutdated: outdated}
+	}
+	for name, c := range map[string]struct {
+		messages []elmsnapshot.Message
+		want     time.Duration
+	}{
+		"read":                {[]elmsnapshot.Message{read(second, false)}, 9 * second},
+		"outdated":            {[]elmsnapshot.Message{read(second, false), read(2*second, true)}, 9 * second},
+		"outdated, confirmed": {[]elmsnapshot.Message{read(second, false), read(2*second, true), elmsnapshot.Confirmed{Sent: 3 * second, ConfigOutdated: true}}, 9 * second},
+		"current again":       {[]elmsnapshot.Message{read(second, true), read(2*second, false)}, 8 * second},
+		"confirmed":           {[]elmsnapshot.Message{read(second, false), elmsnapshot.Confirmed{Sent: 3 * second}}, 7 * second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			snapshot := elmsnapshot.New()
+			for _, m := range c.messages {
+				snapshot, _ = snapshot.Update(m)
+			}
+			if got := snapshot.ConfigAge(10 * second); got != c.want {
+				t.Errorf("age %v, want %v", got, c.want)
+			}
+		})
+	}
+	never, _ := elmsnapshot.New().Update(read(second, true))
+	if got := never.ConfigAge(2 * second); got < time.Hour {
+		t.Errorf("age %v of a configuration that was never the newest", got)
+	}
+}
+
 func TestNotices(t *testing.T) {
 	snapshot, first := elmsnapshot.New().Update(full(0, 5, version(1), listed("a", false), withdrawal("d")))
 	snapshot, again := snapshot.Update(full(second, 6, version(1), listed("a", false), withdrawal("d")))
--- a/internal/forward/elmsnapshot/messages.go
+++ b/internal/forward/elmsnapshot/messages.go
@@ -15,17 +15,23 @@
 	// store. Sent is when the read was sent, and Received when its response arrived.
 	// Full means that Changes hold the complete state; otherwise they hold what
 	// changed since the snapshot's position. The first read of an era is full.
+	// ConfigOutdated means that the store has a newer configuration than the one in effect
+	// after the read, or has none.
 	Read struct {
-		Sent     time.Duration
-		Received time.Duration
-		Source   Source
-		Position Position
-		Full     bool
-		Changes  []Change
+		Sent           time.Duration
+		Received       time.Duration
+		Source         Source
+		Position       Position
+		Full           bool
+		Changes        []Change
+		ConfigOutdated bool
 	}
 	// Confirmed reports that the snapshot was still current when a read was
-	// sent.
-	Confirmed struct{ Sent time.Duration }
+	// sent. ConfigOutdated is that of the read before.
+	Confirmed struct {
+		Sent           time.Duration
+		ConfigOutdated bool
+	}
 )
 
 func (Read) message()      {}
@@ -40,8 +46,12 @@
 	// last Read.
 	Direct struct{ Failing bool }
 	// Peer is another process that has read the store. RelistFor is its
-	// Snapshot.RelistRemaining.
-	Peer struct{ RelistFor time.Duration }
+	// Snapshot.RelistRemaining, and UnusableConfig the revision of the newest configuration if
+	// it can't use that one, or 0.
+	Peer struct {
+		RelistFor      time.Duration
+		UnusableConfig int64
+	}
 )
 
 func (Direct) source() {}
--- a/internal/observe/elmlog/events.go
+++ b/internal/observe/elmlog/events.go
@@ -26,6 +26,8 @@
 	LibraryReported     Event = 1010
 	ConfigAdopted       Event = 1101
 	ConfigRefused       Event = 1102
+	ConfigOutdated      Event = 1103
+	ConfigCurrent       Event = 1104
 	StoreDown           Event = 1201
 	StoreRecovered      Event = 1202
 	InstanceListSuspect Event = 1203
@@ -117,6 +119,8 @@
 	Failed:              {hclog.Error, "process failed", "Read the error. The platform should replace the instance."},
 	ConfigAdopted:       {hclog.Info, "configuration revision in force", adviceNone},
 	ConfigRefused:       {hclog.Error, "configuration revision rejected", "The process keeps its last valid revision. Apply a valid one."},
+	ConfigOutdated:      {hclog.Error, "configuration in force is not the newest, which is missing or can't be read", "Write a valid configuration. Until then, credentials are refused once revocations may have been missed."},
+	ConfigCurrent:       {hclog.Info, "configuration in force is the newest again", adviceNone},
 	StoreDown:           {hclog.Warn, "key-value service unavailable", "Idempotent requests are still served. Keyed requests are refused until it is available again."},
 	StoreRecovered:      {hclog.Info, "key-value service available again", adviceNone},
 	SettingsReloaded:    {hclog.Info, "settings reloaded", adviceNone},
