--- a/internal/forward/elmrouter/elmrouter_test.go
+++ b/internal/forward/elmrouter/elmrouter_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -44,6 +45,24 @@
 	}
 }
 
+// Guards against requests that run without their ID because the caller's Connection names it, so that
+// their response on a reused connection belongs to nobody and they run again.
+func TestConnectionNamesAttempt(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, nil)
+	const requests = 20
+	for i := range requests {
+		if got := f.call(t.Context(), "POST", "/again/a", "", map[string]string{"Connection": "Attempt-Id"}); got.status != http.StatusOK {
+			t.Fatalf("request %d: %+v", i, got)
+		}
+	}
+	runs := f.runs()
+	unnamed := slices.DeleteFunc(slices.Clone(runs), func(r stand.ReceivedRequest) bool { return r.Attempt == "attempt-1" })
+	if len(runs) != requests || len(unnamed) > 0 {
+		t.Errorf("%d requests ran %d times, %d of them without an ID", requests, len(runs), len(unnamed))
+	}
+}
+
 // outcomeCases map requests and faulty endpoint behaviour to the response that the
 // caller gets and the number of times that the request runs.
 var outcomeCases = map[string]struct {
