TestCallerThatDoesNotRead: wait until the endpoint is free, not for one event

Its log shows that the request had ended, after 3.5 s, with event 1403: reading from the endpoint had reached the time limit, since the process had got no processor for 3 s, before writing to the caller did (event 1404), which the test waits for.

What it guards is the endpoint's slot.

--- a/internal/forward/elmrouter/reader_test.go
+++ b/internal/forward/elmrouter/reader_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/elmcove/elmcove/platform/stand"
 )
@@ -24,5 +25,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.eventually("ended", func() bool { return strings.Contains(f.log.String(), `"event":1404`) })
+	select {
+	case <-f.endpoints[0].Disconnected():
+	case <-time.After(10 * time.Second):
+		t.Errorf("the endpoint still sends after 10 s; log:\n%s", f.log)
+	}
+	// Writing to the caller reaches its time limit, or reading from the endpoint does, whichever comes first.
+	f.eventually("ended", func() bool {
+		return strings.Contains(f.log.String(), `"event":1404`) || strings.Contains(f.log.String(), `"event":1403`)
+	})
 }
