--- a/internal/forward/elmfollower/newest.go
+++ b/internal/forward/elmfollower/newest.go
@@ -35,9 +35,9 @@
 	return n.position.Revision
 }
 
-// isBeforeUnusable reports whether the newest configuration of a peer, which that can't use, is
-// later. The revision is 0 if the peer can use it.
-func (n newestConfig) isBeforeUnusable(era, revision int64) bool {
+// precedes reports whether a peer has seen a later configuration that it can't use. The revision
+// of that one is 0 if there is none.
+func (n newestConfig) precedes(era, revision int64) bool {
 	return revision > 0 && n.position.Before(elmsnapshot.Position{Era: era, Revision: revision})
 }
 
@@ -54,7 +54,7 @@
 	case read.Full:
 		next = next.withSeen(position, inForce.Key != "")
 	}
-	if peer, ok := read.Source.(elmsnapshot.Peer); ok && next.isBeforeUnusable(position.Era, peer.UnusableConfig) {
+	if peer, ok := read.Source.(elmsnapshot.Peer); ok && next.precedes(position.Era, peer.UnusableConfig) {
 		position.Revision = peer.UnusableConfig
 		next = next.withSeen(position, true)
 	}
--- a/internal/forward/elmfollower/peers.go
+++ b/internal/forward/elmfollower/peers.go
@@ -23,7 +23,7 @@
 	}
 	started := elmclock.Now()
 	s, ok := f.reader(ctx, before.Position())
-	if !ok || positionOf(s).Before(before.Position()) || f.newest.isBeforeUnusable(s.GetEra(), s.GetUnusableConfig()) {
+	if !ok || positionOf(s).Before(before.Position()) || f.newest.precedes(s.GetEra(), s.GetUnusableConfig()) {
 		return false
 	}
 	sent := started - time.Duration(s.GetAgeMs())*time.Millisecond
