Blame a segment that was cleared before on no less than one that never was

Callers saw refusals of requests whose prompt segment is sound.

Cause: a segment that was cleared before needed five bursts of crashes, or four with seven, and nothing else.

Change: the conditions for segments that were cleared before come on top of the others.

--- a/internal/forward/elmcrash/elmcrash.go
+++ b/internal/forward/elmcrash/elmcrash.go
@@ -299,14 +299,15 @@
 }
 
 // isGuilty reports whether the endpoints crashed under the signature. More crashes are
-// needed if it was cleared before, or if crashes happened without it.
+// needed if it was cleared before, or if crashes happened without it, and as many as either
+// needs if both hold.
 func (e evidence) isGuilty() bool {
 	n := len(e.crashes)
 	switch {
 	case n <= 2*e.clearedSince:
 		return false
-	case e.clearedBefore > 0:
-		return e.bursts >= 5 || e.bursts >= 4 && n >= 7
+	case e.clearedBefore > 0 && e.bursts < 5 && (e.bursts < 4 || n < 7):
+		return false
 	case e.signature.IsRequest() && e.clearedSince == 0 && e.settled >= minRequestCrashes && !e.ambiguous:
 		return e.bursts >= 3 || 4*n >= 3*e.burstCrashes
 	case 4*n >= 3*e.burstCrashes && 4*n >= 3*e.allCrashes:
