--- a/review/stand3/cold.go
+++ b/review/stand3/cold.go
@@ -10,9 +10,9 @@
 
 const (
 	coldTime = 3 * time.Second
-	coldPerS = 8
+	coldPerS = 38
 	// coldBound is coldPerS x coldOver + coldSlack.
-	coldBound = 17
+	coldBound = 62
 	// crashRate is the rate of requests at which a cold replica crashes.
 	crashRate = 2 * coldBound
 	// outage is how long the store is down, as platform_down in the site file.
@@ -54,7 +54,7 @@
 	defer stop()
 	var replicas []*replica
 	for _, id := range []string{"i-desk1", "i-desk2"} {
-		r, err := s.newReplica(id, "desk", 12, 40*time.Millisecond)
+		r, err := s.newReplica(id, "desk", 12, 20*time.Millisecond)
 		if err != nil {
 			return err
 		}
@@ -81,7 +81,7 @@
 	sending, end := context.WithTimeout(ctx, 11*time.Second)
 	defer end()
 	l := &load{clients: clients}
-	l.start(sending, http.MethodPost, ordersPrefix, 120)
+	l.start(sending, http.MethodPost, ordersPrefix, 360)
 	time.Sleep(4 * time.Second)
 	if trouble {
 		s.record.line("the store is down")
