Cases 11 and 13: the same without the disruption, and a sound crash

With TROUBLE=0 the clients of case 11 now pause and go on as with the disruption, and only the late orders are left out. In case 13 a crashed replica writes no entry any more, and its entry is removed after three heartbeats. A script that gets SIGTERM ends all that it started.

--- a/review/stand3/cold.go
+++ b/review/stand3/cold.go
@@ -70,8 +70,9 @@
 		if !isCold {
 			return
 		}
-		if rate := seen.add(at); rate > crashRate && !cold.crashed.Swap(true) {
+		if rate := seen.add(at); rate > crashRate {
 			s.record.line("CRASH: cold replica %s got %d requests within a second", cold.id, rate)
+			cold.crash()
 		}
 	}
 	clients, err := s.startRouters(ctx, "edge-1", "edge-2")
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -12,7 +12,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -85,5 +87,13 @@
 		return err
 	}
 	defer s.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(ended)
+	go func() {
+		<-ended
+		s.close()
+		os.Exit(2)
+	}()
 	return f(s)
 }
--- a/review/stand3/planners.go
+++ b/review/stand3/planners.go
@@ -168,9 +168,7 @@
 	s.store.put("op/config", modelConfig())
 	g := newGroup(s.record)
 	c := &scene{group: g, held: make(chan struct{}), started: make(chan struct{})}
-	if trouble {
-		g.late = c.late
-	}
+	g.late = func(rank int, o groupOrder) bool { return c.late(rank, o) && trouble }
 	running, stop := context.WithCancel(ctx)
 	defer stop()
 	if err := s.startGroup(running, g); err != nil {
@@ -181,14 +179,7 @@
 		return err
 	}
 	l := &load{clients: clients}
-	if trouble {
-		err = c.play(ctx, s, l)
-	} else {
-		sending, end := context.WithTimeout(ctx, 8*time.Second)
-		defer end()
-		l.start(sending, http.MethodPost, modelPrefix, 10)
-		<-sending.Done()
-	}
+	err = c.play(ctx, s, l)
 	answers := l.wait()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -204,7 +195,7 @@
 }
 
 // play lets a rollout of the first planner take longer than its lease, so that two planners
-// act at once. Meanwhile clients send a request now and then.
+// act at once. Meanwhile clients send a request now and then. If no order is late, the leader stays.
 func (c *scene) play(ctx context.Context, s *site, l *load) error {
 	key := "elmcove/planner/" + modelService
 	sending, pause := context.WithCancel(ctx)
--- a/review/stand3/replica.go
+++ b/review/stand3/replica.go
@@ -60,7 +60,7 @@
 
 // beat writes the entry now, and then at each heartbeat until the context ends.
 func (r *replica) beat(ctx context.Context) {
-	for {
+	for !r.crashed.Load() {
 		r.write()
 		select {
 		case <-ctx.Done():
@@ -85,6 +85,14 @@
 // coldLeft returns how long the replica stays cold. The mutex must be held.
 func (r *replica) coldLeft() time.Duration { return max(time.Until(r.coldUntil), 0) }
 
+// crash breaks off all requests. A crashed replica writes nothing, so that its entry is removed
+// after three heartbeat intervals.
+func (r *replica) crash() {
+	if !r.crashed.Swap(true) {
+		time.AfterFunc(3*heartbeat, func() { r.site.store.remove("servers/" + r.id) })
+	}
+}
+
 // chill makes the replica cold for some time.
 func (r *replica) chill(length time.Duration) {
 	r.mutex.Lock()
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -70,6 +70,15 @@
 	s.write(key, document, 0, false)
 }
 
+// remove removes a key. It does nothing while the store is down.
+func (s *store) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, ok := s.items[key]; ok && !s.down.Load() {
+		s.write(key, nil, 0, true)
+	}
+}
+
 // value returns the value of a key.
 func (s *store) value(key string) string {
 	s.mutex.Lock()
